--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benches, the demonstration, and the stand-ins they run against."""
--- /dev/null
+++ b/bench/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""The experiments, one module each."""
--- /dev/null
+++ b/bench/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform's store and for targets."""
--- /dev/null
+++ b/src/currantcart/admission/queue.py
@@ -0,0 +1,146 @@
+"""Bounded queue: importance first, then fairness, then deadline.
+
+Among calls of the same priority the workspace that was served least comes
+next (start-time fair queueing), so a workspace that floods waits behind its
+own calls and not in front of the others'.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+from collections.abc import Iterator
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Waiting:
+    """A call that waits for a slot.
+
+    Attributes:
+      call_id: Its id.
+      workspace: Its workspace.
+      key_id: Key of its root call.
+      priority: Order under overload.
+      deadline_ms: When its caller gives up.
+      arrived_ms: When it came.
+    """
+
+    call_id: str
+    workspace: str
+    key_id: str
+    priority: int
+    deadline_ms: float
+    arrived_ms: float
+
+
+@dataclasses.dataclass(slots=True)
+class Lane:
+    """Waiting calls of one priority, by workspace."""
+
+    calls: dict[str, collections.deque[Waiting]] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+class FairQueue:
+    """Waiting calls of one target.
+
+    Attributes:
+      size: Calls that wait.
+      lanes: By priority.
+      tags: Virtual start time of each workspace's next call.
+      virtual_time: Tag of the call served last.
+    """
+
+    def __init__(self) -> None:
+        self.size = 0
+        self.lanes: dict[int, Lane] = {}
+        self.tags: dict[str, float] = {}
+        self.virtual_time = 0.0
+
+    def push(self, waiting: Waiting) -> None:
+        """Adds a call."""
+        lane = self.lanes.setdefault(waiting.priority, Lane())
+        lane.calls.setdefault(waiting.workspace, collections.deque()).append(
+            waiting
+        )
+        self.size += 1
+
+    def take(self, waiting: Waiting) -> None:
+        """Removes a given call."""
+        lane = self.lanes[waiting.priority]
+        calls = lane.calls[waiting.workspace]
+        calls.remove(waiting)
+        self.size -= 1
+        if not calls:
+            del lane.calls[waiting.workspace]
+        if not lane.calls:
+            del self.lanes[waiting.priority]
+
+    def charge(self, workspace: str) -> None:
+        """Counts one served call of a workspace."""
+        start = max(self.tags.get(workspace, 0.0), self.virtual_time)
+        self.virtual_time = start
+        self.tags[workspace] = start + 1.0
+        if len(self.tags) > 2 * (self.size + 64):
+            self.forget_idle()
+
+    def forget_idle(self) -> None:
+        """Drops tags that no longer hold anyone back."""
+        self.tags = {
+            name: tag
+            for name, tag in self.tags.items()
+            if tag > self.virtual_time
+        }
+
+    def pop(self, *, newest_first: bool) -> Waiting:
+        """Takes the call that is served next.
+
+        Args:
+          newest_first: Serve a workspace's newest call instead of its oldest.
+
+        Returns:
+          The call; the queue must not be empty.
+        """
+        lane = self.lanes[max(self.lanes)]
+        workspace = min(lane.calls, key=lambda name: self.tags.get(name, 0.0))
+        calls = lane.calls[workspace]
+        chosen = calls[-1] if newest_first else calls[0]
+        self.take(chosen)
+        self.charge(workspace)
+        return chosen
+
+    def victim(self) -> Waiting:
+        """Returns the call to drop first: least important, longest line."""
+        lane = self.lanes[min(self.lanes)]
+        workspace = max(lane.calls, key=lambda name: len(lane.calls[name]))
+        return lane.calls[workspace][0]
+
+    def ahead_of(self, priority: int) -> int:
+        """Counts the calls that would be served before a new one."""
+        return sum(
+            len(calls)
+            for level, lane in self.lanes.items()
+            if level >= priority
+            for calls in lane.calls.values()
+        )
+
+    def fair_wait(self, workspace: str, priority: int) -> int:
+        """Counts the calls before a workspace's next one under fairness."""
+        higher = self.ahead_of(priority + 1)
+        lane = self.lanes.get(priority)
+        if lane is None:
+            return higher
+        own = len(lane.calls.get(workspace, ()))
+        others = sum(
+            min(len(calls), own + 1)
+            for name, calls in lane.calls.items()
+            if name != workspace
+        )
+        return higher + own + others
+
+    def __iter__(self) -> Iterator[Waiting]:
+        """Yields all waiting calls."""
+        for lane in list(self.lanes.values()):
+            for calls in list(lane.calls.values()):
+                yield from list(calls)
--- /dev/null
+++ b/src/currantcart/call/__init__.py
@@ -0,0 +1,1 @@
+"""One call and its chain: context, deadline and retry allowance."""
--- /dev/null
+++ b/src/currantcart/call/model.py
@@ -0,0 +1,47 @@
+"""A call on its way from the node that took it to a target."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from currantcart.call import active, allowance
+from currantcart.graph import model as graph_model
+
+
+@dataclasses.dataclass(slots=True)
+class Call:
+    """One call, after all checks of the node that took it.
+
+    Attributes:
+      call_id: Unique id of this call.
+      root_id: Id of the root call of its chain.
+      service: Service called.
+      method: HTTP method.
+      path: Path and query inside the service.
+      workspace: Workspace whose key came with the root call.
+      key_id: That key.
+      importance: Importance of the root call.
+      priority: Order under overload.
+      idempotent: Whether it may run more than once.
+      deadline_ms: On this node's clock.
+      allowance: Retries for it and all below.
+      depth: 0 for a root call.
+      parent: The running call it belongs to; None for a root call.
+      traceparent: W3C trace context; empty without a trace.
+    """
+
+    call_id: str
+    root_id: str
+    service: str
+    method: str
+    path: str
+    workspace: str
+    key_id: str
+    importance: graph_model.Importance
+    priority: int
+    idempotent: bool
+    deadline_ms: float
+    allowance: allowance.Allowance
+    depth: int
+    parent: active.ActiveCall | None
+    traceparent: str
--- /dev/null
+++ b/src/currantcart/cli/fleet.py
@@ -0,0 +1,129 @@
+"""Commands that ask running nodes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any, ClassVar
+
+from cleo.helpers import argument
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
+
+from currantcart import errors
+from currantcart.cli import base, output
+
+GONE = frozenset({"dead", "leaving"})
+STATUS_COLUMNS = (
+    "instance", "service", "domain", "status", "slots", "running", "waiting",
+    "limit", "shed_level", "revision",
+)  # fmt: skip
+
+
+async def ask_members(
+    address: str, path: str
+) -> list[tuple[dict[str, Any], Any]]:
+    """Asks every member that a node knows.
+
+    Returns:
+      Pairs of the member and its answer; the answer is None when it gave
+      none.
+    """
+    known = await base.ask_node(address, "/status")
+    members = sorted(known["members"], key=lambda m: str(m["instance"]))
+
+    async def ask(member: dict[str, Any]) -> Any:
+        if member["status"] in GONE:
+            return None
+        try:
+            return await base.ask_node(member["admin"], path)
+        except errors.CurrantcartError:
+            return None
+
+    answers = await asyncio.gather(*(ask(member) for member in members))
+    return list(zip(members, answers, strict=True))
+
+
+def status_row(member: dict[str, Any], answer: Any) -> list[str]:
+    """Returns one line of the fleet's status."""
+    row = [
+        member["instance"],
+        member["service"],
+        member["failure_domain"],
+        member["status"] if answer or member["status"] in GONE else "silent",
+        str(member["slots"]),
+    ]
+    if answer is None:
+        return [*row, "-", "-", "-", "-", str(member["revision"])]
+    return [
+        *row,
+        str(answer["running"]),
+        str(answer["waiting"]),
+        f"{answer['limit']:.0f}",
+        str(answer["shed_level"]),
+        str(answer["revision"]),
+    ]
+
+
+class StatusCommand(base.BaseCommand):
+    """Shows the fleet."""
+
+    name = "status"
+    description = "Shows the fleet as one node knows it."
+    options: ClassVar[list[Option]] = base.ADMIN_OPTIONS
+
+    def handle(self) -> int:
+        """Asks the node and every member it knows."""
+        address = self.address("admin", base.ADMIN_VARIABLE)
+        answers = asyncio.run(ask_members(address, "/status"))
+        rows = [status_row(member, answer) for member, answer in answers]
+        output.table(self, STATUS_COLUMNS, rows)
+        return 0
+
+
+class ExplainCommand(base.BaseCommand):
+    """Tells one call's way."""
+
+    name = "explain"
+    description = "Tells the way of a call and its chain through the fleet."
+    arguments: ClassVar[list[Argument]] = [
+        argument("call_id", "Currantcart-Call-Id of the answer.")
+    ]
+    options: ClassVar[list[Option]] = base.ADMIN_OPTIONS
+
+    def handle(self) -> int:
+        """Asks all members for their decisions on the call."""
+        address = self.address("admin", base.ADMIN_VARIABLE)
+        call_id = self.argument("call_id")
+        answers = asyncio.run(ask_members(address, f"/explain/{call_id}"))
+        decisions = [
+            {"instance": member["instance"], **decision}
+            for member, answer in answers
+            for decision in answer or []
+        ]
+        if not decisions:
+            raise errors.CurrantcartError(
+                errors.Code.NOT_FOUND,
+                errors.Step.COMMAND,
+                f"no node remembers call {call_id}",
+                peer=address,
+            )
+        decisions.sort(key=lambda decision: float(decision["wall_ms"]))
+        if self.option("json"):
+            self.line(json.dumps(decisions))
+            return 0
+        start_ms = decisions[0]["wall_ms"]
+        columns = ["at_ms", "instance", "call", "event", "service", "detail"]
+        rows = [
+            [
+                f"{d['wall_ms'] - start_ms:.1f}",
+                d["instance"],
+                d["call_id"],
+                d["event"],
+                d["service"],
+                f"{d['peer']} {d['detail']}".strip(),
+            ]
+            for d in decisions
+        ]
+        output.table(self, columns, rows)
+        return 0
--- /dev/null
+++ b/src/currantcart/cli/node.py
@@ -0,0 +1,57 @@
+"""Commands of a node's machine: run it, check its settings."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+from typing import ClassVar
+
+from cleo.helpers import argument, option
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
+
+from currantcart.cli import base, output
+from currantcart.settings import model as settings_model
+from currantcart.telemetry import log
+
+
+class NodeCommand(base.BaseCommand):
+    """Runs a node."""
+
+    name = "node"
+    description = "Runs the node beside a target."
+    options: ClassVar[list[Option]] = [
+        option("settings", "s", "Settings file.", flag=False)
+    ]
+
+    def handle(self) -> int:
+        """Runs until a signal."""
+        # Only this command needs the node; the others start faster without.
+        from currantcart.node import app
+
+        path = self.option("settings")
+        if not path:
+            raise base.UsageError("--settings FILE is required")
+        settings = settings_model.load(pathlib.Path(path))
+        settings.secret()
+        log.configure(level=settings.log_level)
+        return asyncio.run(app.run(settings))
+
+
+class SettingsCheckCommand(base.BaseCommand):
+    """Checks a settings file."""
+
+    name = "settings check"
+    description = "Checks a settings file."
+    arguments: ClassVar[list[Argument]] = [argument("file", "Settings file.")]
+    options: ClassVar[list[Option]] = [base.JSON_OPTION]
+
+    def handle(self) -> int:
+        """Validates the file."""
+        path = self.argument("file")
+        settings = settings_model.load(pathlib.Path(path))
+        settings.secret()
+        output.result(
+            self, f"{path}: valid", file=path, instance=settings.instance
+        )
+        return 0
--- /dev/null
+++ b/src/currantcart/cli/output.py
@@ -0,0 +1,36 @@
+"""Output of commands: for people, or JSON."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Sequence
+
+from cleo.commands import command
+
+
+def table(
+    shown: command.Command,
+    columns: Sequence[str],
+    rows: Sequence[Sequence[str]],
+) -> None:
+    """Writes rows in aligned columns, or as a list of JSON objects."""
+    if shown.option("json"):
+        records = [dict(zip(columns, row, strict=True)) for row in rows]
+        shown.line(json.dumps(records))
+        return
+    widths = [
+        max(len(row[i]) for row in [columns, *rows])
+        for i in range(len(columns))
+    ]
+    for row in [columns, *rows]:
+        cells = [
+            cell.ljust(width) for cell, width in zip(row, widths, strict=True)
+        ]
+        shown.line("  ".join(cells).rstrip())
+
+
+def result(
+    shown: command.Command, text: str, **fields: str | int | float | bool
+) -> None:
+    """Writes one outcome as a line, or as a JSON object."""
+    shown.line(json.dumps(fields) if shown.option("json") else text)
--- /dev/null
+++ b/src/currantcart/config/__init__.py
@@ -0,0 +1,1 @@
+"""The fleet's configuration: document, edits, distribution."""
--- /dev/null
+++ b/src/currantcart/config/changes.py
@@ -0,0 +1,108 @@
+"""The changes that operators make, as pure functions on the document."""
+
+from __future__ import annotations
+
+from currantcart import errors
+from currantcart.config import document, edits
+from currantcart.graph import document as graph_document
+from currantcart.workspace import model as workspace_model
+
+
+def refuse(detail: str, *, code: errors.Code) -> errors.CurrantcartError:
+    """Returns the error of a change that does not fit the document."""
+    return errors.CurrantcartError(code, errors.Step.CONFIG, detail)
+
+
+def require_workspace(
+    current: document.Document, name: str
+) -> document.WorkspaceText:
+    """Returns a workspace, or raises."""
+    if name not in current.workspaces:
+        raise refuse(
+            f"workspace {name} does not exist", code=errors.Code.NOT_FOUND
+        )
+    return current.workspaces[name]
+
+
+def apply_services(text: graph_document.ServicesText) -> edits.Change:
+    """Replaces the services."""
+
+    def change(current: document.Document) -> edits.Changed:
+        del current
+        return edits.Changed(
+            {"services": text}, f"services: {len(text.services)} services"
+        )
+
+    return change
+
+
+def create_workspace(
+    name: str, workspace: document.WorkspaceText
+) -> edits.Change:
+    """Adds a workspace."""
+
+    def change(current: document.Document) -> edits.Changed:
+        if name in current.workspaces:
+            raise refuse(
+                f"workspace {name} exists", code=errors.Code.EDIT_CONFLICT
+            )
+        workspaces = {**current.workspaces, name: workspace}
+        return edits.Changed(
+            {"workspaces": workspaces}, f"workspace {name}: created"
+        )
+
+    return change
+
+
+def set_workspace(
+    name: str,
+    *,
+    rate: float | None,
+    burst: float | None,
+    importance: graph_document.ImportanceName | None,
+) -> edits.Change:
+    """Changes the limits of a workspace; None leaves a value."""
+
+    def change(current: document.Document) -> edits.Changed:
+        values = require_workspace(current, name).model_dump()
+        given = {"rate": rate, "burst": burst, "importance": importance}
+        values |= {k: v for k, v in given.items() if v is not None}
+        workspaces = {
+            **current.workspaces,
+            name: document.WorkspaceText.model_validate(values),
+        }
+        return edits.Changed(
+            {"workspaces": workspaces}, f"workspace {name}: limits set"
+        )
+
+    return change
+
+
+def give_key(workspace: str, *, key: str, key_id: str) -> edits.Change:
+    """Gives a key to a workspace."""
+
+    def change(current: document.Document) -> edits.Changed:
+        require_workspace(current, workspace)
+        text = document.KeyText(
+            digest=workspace_model.digest_of(key), workspace=workspace
+        )
+        return edits.Changed(
+            {"keys": {**current.keys, key_id: text}},
+            f"key {key_id}: given to {workspace}",
+        )
+
+    return change
+
+
+def withdraw_key(key_id: str) -> edits.Change:
+    """Withdraws a key."""
+
+    def change(current: document.Document) -> edits.Changed:
+        if key_id not in current.keys:
+            raise refuse(
+                f"key {key_id} does not exist", code=errors.Code.NOT_FOUND
+            )
+        keys = {k: v for k, v in current.keys.items() if k != key_id}
+        return edits.Changed({"keys": keys}, f"key {key_id}: withdrawn")
+
+    return change
--- /dev/null
+++ b/src/currantcart/graph/__init__.py
@@ -0,0 +1,1 @@
+"""The service graph: services, dependencies, importance and patience."""
--- /dev/null
+++ b/src/currantcart/graph/model.py
@@ -0,0 +1,144 @@
+"""The service graph as the decisions see it."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+from currantcart import clock
+
+DEPTH_MAX = 14
+PRIORITY_STEP_IMPORTANCE = 8
+PRIORITY_STEP_WORKSPACE = 2
+NO_SHEDDING = -1
+
+
+class Importance(enum.IntEnum):
+    """How late a call is shed; the higher, the later."""
+
+    SHEDDABLE = 0
+    NORMAL = 1
+    IMPORTANT = 2
+    CRITICAL = 3
+
+
+def priority(
+    importance: Importance, workspace_importance: Importance, *, depth: int
+) -> int:
+    """Returns the order in which calls are kept under overload.
+
+    The importance of the route decides first, so that no workspace's browsing
+    outlasts a payment. The workspace's importance comes next. A call inside
+    a chain beats a new root call, since work was already spent on it.
+
+    Args:
+      importance: Importance of the root call's route.
+      workspace_importance: Importance of the workspace.
+      depth: 0 for a root call.
+
+    Returns:
+      A number from 0 to 31; the higher, the later it is shed.
+    """
+    inside_chain = 1 if depth else 0
+    return (
+        importance * PRIORITY_STEP_IMPORTANCE
+        + workspace_importance * PRIORITY_STEP_WORKSPACE
+        + inside_chain
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PatienceSpan:
+    """Patience that holds for a part of the day.
+
+    Attributes:
+      start_minute: First minute of the local day, 0 to 1439.
+      end_minute: First minute after the span; below `start_minute` when the
+        span runs over midnight.
+      patience_ms: How long callers wait in that span.
+    """
+
+    start_minute: int
+    end_minute: int
+    patience_ms: float
+
+    def covers(self, minute: int) -> bool:
+        """Tells whether a minute of the day lies in the span."""
+        if self.start_minute <= self.end_minute:
+            return self.start_minute <= minute < self.end_minute
+        return minute >= self.start_minute or minute < self.end_minute
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """A part of a service with an importance of its own.
+
+    Attributes:
+      method: HTTP method, or `*` for all.
+      path: Prefix of the path inside the service.
+      importance: Importance of a root call to it.
+      idempotent: Whether it may run more than once.
+    """
+
+    method: str
+    path: str
+    importance: Importance
+    idempotent: bool
+
+    def matches(self, method: str, path: str) -> bool:
+        """Tells whether a request belongs to the route."""
+        return self.method in ("*", method) and path.startswith(self.path)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Service:
+    """One service.
+
+    Attributes:
+      name: Its name.
+      depends_on: Services that its targets may call.
+      routes: Routes in the order of their match; the last one matches all.
+      patience_ms: How long callers wait when no span covers the time.
+      spans: Patience by time of day.
+      retries: Retry allowance of a root call to the service.
+      max_importance: Cap on the importance of calls to it.
+    """
+
+    name: str
+    depends_on: frozenset[str]
+    routes: tuple[Route, ...]
+    patience_ms: float
+    spans: tuple[PatienceSpan, ...] = ()
+    retries: int = 2
+    max_importance: Importance = Importance.CRITICAL
+
+    def route(self, method: str, path: str) -> Route:
+        """Returns the first route that matches."""
+        for route in self.routes:
+            if route.matches(method, path):
+                return route
+        return self.routes[-1]
+
+    def patience_at(self, wall_ms: float, *, utc_offset_minutes: int) -> float:
+        """Returns the patience of callers at a time of day, in ms."""
+        if not self.spans:
+            return self.patience_ms
+        local_ms = wall_ms + utc_offset_minutes * clock.MS_PER_MINUTE
+        minute = int(local_ms % clock.MS_PER_DAY // clock.MS_PER_MINUTE)
+        for span in self.spans:
+            if span.covers(minute):
+                return span.patience_ms
+        return self.patience_ms
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Graph:
+    """All services of the fleet.
+
+    Attributes:
+      services: By name.
+      utc_offset_minutes: Offset of the local time of day from UTC.
+    """
+
+    services: dict[str, Service]
+    utc_offset_minutes: int = 0
--- /dev/null
+++ b/src/currantcart/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which instances there are: gossip between nodes, in the manner of SWIM."""
--- /dev/null
+++ b/src/currantcart/node/__init__.py
@@ -0,0 +1,1 @@
+"""The node: composition of the parts and their I/O."""
--- /dev/null
+++ b/src/currantcart/node/admin.py
@@ -0,0 +1,77 @@
+"""Admin HTTP of one node: metrics, status and explanations."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+if TYPE_CHECKING:
+    from currantcart.node import app
+
+
+def status_of(node: app.Node) -> dict[str, object]:
+    """Returns the state of a node as people ask for it."""
+    context, guard = node.context, node.guard
+    now = context.clock.now()
+    return {
+        "instance": context.instance,
+        "draining": context.draining,
+        "revision": context.config.revision,
+        "service": context.settings.target.service,
+        "running": guard.admission.running,
+        "waiting": guard.admission.queue.size,
+        "limit": guard.admission.limit.value,
+        "shed_level": guard.admission.shed_level(now),
+        "connections": guard.pool.leased + len(guard.pool.idle),
+        "store_calls": node.distributor.store_calls,
+        "gossip_bytes": node.gossip.bytes_sent,
+        "members": [
+            dataclasses.asdict(member) | {"status": member.status.name.lower()}
+            for member in node.members.members()
+        ],
+        "targets": {
+            candidate.member.instance: {
+                "service": candidate.member.service,
+                "health": candidate.health.state,
+                "in_flight": candidate.in_flight,
+            }
+            for candidate in context.router.candidates.values()
+        },
+    }
+
+
+def build_app(node: app.Node) -> web.Application:
+    """Returns the admin application."""
+
+    async def metrics(request: web.Request) -> web.Response:
+        del request
+        return web.Response(
+            body=node.context.metrics.render(),
+            headers={"Content-Type": "text/plain; version=0.0.4"},
+        )
+
+    async def status(request: web.Request) -> web.Response:
+        del request
+        return web.json_response(status_of(node))
+
+    async def explain(request: web.Request) -> web.Response:
+        found = node.context.recorder.find(request.match_info["call_id"])
+        return web.json_response(
+            [dataclasses.asdict(decision) for decision in found]
+        )
+
+    async def ready(request: web.Request) -> web.Response:
+        del request
+        is_ready = node.is_ready()
+        return web.json_response(
+            {"ready": is_ready}, status=200 if is_ready else 503
+        )
+
+    application = web.Application()
+    application.router.add_get("/metrics", metrics)
+    application.router.add_get("/status", status)
+    application.router.add_get("/ready", ready)
+    application.router.add_get("/explain/{call_id}", explain)
+    return application
--- /dev/null
+++ b/src/currantcart/node/app.py
@@ -0,0 +1,382 @@
+"""One node: start, life, graceful shutdown."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import random
+import secrets
+import signal
+
+from aiohttp import web
+
+from currantcart import clock as clock_module
+from currantcart import errors
+from currantcart.membership import detector
+from currantcart.membership import model as membership_model
+from currantcart.membership import table
+from currantcart.node import (
+    admin,
+    context,
+    distribute,
+    forward,
+    gossip,
+    guard,
+    ingress,
+    links,
+)
+from currantcart.settings import model as settings_model
+from currantcart.store import http as store_http
+from currantcart.store import port
+from currantcart.wire import call_stream, connection, messages
+
+TARGET_CHECK_SECONDS = 0.5
+TARGET_CHECK_TIMEOUT_SECONDS = 1.0
+TARGET_FAILURES_MAX = 3
+DRAIN_NOTICE_SECONDS = 0.2
+LATE_CALLS_SECONDS = 1.5
+
+
+class Node:
+    """A running node.
+
+    Attributes:
+      context: Shared state.
+      guard: The target's guard.
+      members: The member table.
+      stopping: Set when a shutdown was asked for.
+    """
+
+    def __init__(
+        self,
+        settings: settings_model.Settings,
+        *,
+        clock: clock_module.Clock,
+        loop: asyncio.AbstractEventLoop,
+        store: port.Store,
+        rng: random.Random,
+    ) -> None:
+        self.context = context.build(settings, clock=clock, loop=loop, rng=rng)
+        now = clock.now()
+        self.store = store
+        self.members = table.MemberTable(
+            own=own_member(settings, int(clock.wall())), now=now
+        )
+        self.guard = guard.Guard(self.context)
+        self.links = links.Links(self.context, service=self)
+        self.distributor = distribute.Distributor(
+            self.context,
+            store=store,
+            links=self.links,
+            members=self.members,
+            on_change=self.configuration_changed,
+        )
+        self.ingress = ingress.Ingress(
+            self.context,
+            forwarder=forward.Forwarder(
+                self.context, links=self.links, arrive=self.guard.arrive
+            ),
+        )
+        self.gossip = gossip.Gossip(
+            self.context,
+            failure_detector=detector.Detector(
+                members=self.members, seeds=settings.seeds, rng=rng, now=now
+            ),
+            on_news=self.members_changed,
+            on_revision=self.distributor.fetch_from,
+        )
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.servers: list[asyncio.Server] = []
+        self.admin_runner = web.AppRunner(admin.build_app(self))
+        self.stopping = asyncio.Event()
+        self.hurry = asyncio.Event()
+        self.target_failures = 0
+        self.add_gauges()
+
+    def add_gauges(self) -> None:
+        """Adds the gauges that read this node's state."""
+        admission, clock = self.guard.admission, self.context.clock
+        gauge = self.context.metrics.gauge
+        gauge("running", "Calls at the target", lambda: admission.running)
+        gauge("waiting", "Calls that wait", lambda: admission.queue.size)
+        gauge("limit", "Adaptive limit", lambda: admission.limit.value)
+        gauge(
+            "shed_level",
+            "Highest priority shed lately, -1 without",
+            lambda: admission.shed_level(clock.now()),
+        )
+        gauge(
+            "config_revision",
+            "Configuration revision in force",
+            lambda: self.context.config.revision,
+        )
+        gauge(
+            "members",
+            "Members known",
+            lambda: len(self.members.entries),
+        )
+
+    # Streams between nodes: the interface `connection.Service`.
+
+    def opened(self, stream: connection.Connection) -> None:
+        """Uses a stream that a peer dialled for calls to it as well."""
+        self.links.streams.setdefault(stream.peer, stream)
+
+    def call_arrived(
+        self, opening: messages.Open, call: call_stream.CallStream
+    ) -> None:
+        """Takes a call from a peer."""
+        self.guard.arrive(opening, call)
+
+    def state_message(
+        self,
+        message: messages.Fetch | messages.State,
+        stream: connection.Connection,
+    ) -> None:
+        """Takes a message about configuration and members."""
+        self.distributor.state_message(message, stream)
+        self.gossip.check_news()
+
+    def closed(
+        self, stream: connection.Connection, error: Exception | None
+    ) -> None:
+        """Drops a stream that has ended."""
+        self.links.forget(stream)
+        if isinstance(error, errors.StreamError):
+            self.context.metrics.streams.labels(error.code).inc()
+            self.context.logger.warning(
+                "stream ended",
+                code=error.code,
+                step=error.step,
+                peer=error.peer or stream.peer,
+                detail=error.detail,
+            )
+
+    # Reactions to change.
+
+    def configuration_changed(self) -> None:
+        """Announces a new revision."""
+        own = dataclasses.replace(
+            self.members.own, revision=self.context.config.revision
+        )
+        self.members.announce(own, self.context.clock.now())
+        self.gossip.spread_rumour()
+
+    def members_changed(self) -> None:
+        """Lets the router know the members."""
+        self.context.router.update(
+            self.members.members(), self.context.clock.now()
+        )
+
+    def is_ready(self) -> bool:
+        """Tells whether the node serves."""
+        return (
+            self.context.config.view is not None
+            and self.members.own.slots > 0
+            and not self.context.draining
+        )
+
+    # Life.
+
+    async def start(self) -> None:
+        """Opens all ports and starts the background tasks."""
+        settings, loop = self.context.settings, self.context.loop
+        listen = settings.listen
+        host, port_number = settings_model.split_address(listen.peers)
+        self.servers.append(
+            await loop.create_server(
+                self.links.accept,
+                host,
+                port_number,
+                ssl=links.server_tls(settings.tls),
+            )
+        )
+        await loop.create_datagram_endpoint(
+            lambda: self.gossip, local_addr=(host, port_number)
+        )
+        host, port_number = settings_model.split_address(listen.callers)
+        self.servers.append(
+            await loop.create_server(
+                self.ingress.accept, host, port_number, backlog=1_024
+            )
+        )
+        await self.admin_runner.setup()
+        host, port_number = settings_model.split_address(listen.admin)
+        await web.TCPSite(self.admin_runner, host, port_number).start()
+        for background in (
+            self.gossip.run(),
+            self.distributor.join(),
+            self.distributor.watch(),
+            self.distributor.sync(),
+            self.watch_target(),
+        ):
+            self.keep(loop.create_task(background))
+        if self.context.tracing.tracer is not None:
+            self.keep(loop.create_task(self.context.tracing.run()))
+        self.context.logger.info(
+            "node started",
+            service=settings.target.service,
+            **listen.model_dump(),
+        )
+
+    def keep(self, task: asyncio.Task[None]) -> None:
+        """Keeps a background task, and logs it when it fails."""
+        self.tasks.add(task)
+
+        def ended(done: asyncio.Task[None]) -> None:
+            self.tasks.discard(done)
+            if not done.cancelled() and done.exception() is not None:
+                self.context.logger.error(
+                    "background task failed", exc_info=done.exception()
+                )
+
+        task.add_done_callback(ended)
+
+    async def watch_target(self) -> None:
+        """Announces the target while it takes connections."""
+        settings = self.context.settings
+        host, port_number = settings_model.split_address(
+            settings.target.address
+        )
+        while True:
+            try:
+                async with asyncio.timeout(TARGET_CHECK_TIMEOUT_SECONDS):
+                    _, writer = await asyncio.open_connection(host, port_number)
+                writer.close()
+                self.target_failures = 0
+                self.announce_slots(settings.target.slots)
+            except (OSError, TimeoutError):
+                self.target_failures += 1
+                if self.target_failures >= TARGET_FAILURES_MAX:
+                    self.announce_slots(0)
+            await asyncio.sleep(TARGET_CHECK_SECONDS)
+
+    def announce_slots(self, slots: int) -> None:
+        """Announces that the target serves, or that it does not."""
+        own = self.members.own
+        if own.slots == slots or self.context.draining:
+            return
+        wall_ms = int(self.context.clock.wall())
+        started = wall_ms if slots else own.started
+        self.members.announce(
+            dataclasses.replace(
+                own,
+                slots=slots,
+                incarnation=own.incarnation + 1,
+                started=started,
+            ),
+            self.context.clock.now(),
+        )
+        self.context.logger.info("target announced", slots=slots)
+        self.gossip.announce()
+
+    def request_stop(self) -> None:
+        """Begins a graceful shutdown; asked again, ends it at once."""
+        if self.stopping.is_set():
+            self.hurry.set()
+        self.stopping.set()
+
+    async def drain(self) -> int:
+        """Leaves without cutting a call.
+
+        Returns:
+          How many calls were cut because the time was over.
+        """
+        context_, loop = self.context, self.context.loop
+        context_.draining = True
+        self.members.announce(
+            dataclasses.replace(
+                self.members.own, status=membership_model.Status.LEAVING
+            ),
+            context_.clock.now(),
+        )
+        self.gossip.announce()
+        self.servers[1].close()
+        for caller in list(self.ingress.connections):
+            caller.drain()
+        finishing = loop.create_task(self.finish_calls())
+        hurrying = loop.create_task(self.hurry.wait())
+        await asyncio.wait(
+            {finishing, hurrying},
+            timeout=context_.settings.drain_ms / 1_000,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        finishing.cancel()
+        hurrying.cancel()
+        cut = self.guard.cancel_running() + sum(
+            1 for caller in self.ingress.connections if caller.task
+        )
+        context_.logger.info("drained", calls_cut=cut)
+        return cut
+
+    async def finish_calls(self) -> None:
+        """Waits for all calls, and for late ones of stale peers."""
+        await asyncio.sleep(DRAIN_NOTICE_SECONDS)
+        await self.guard.finish_running()
+        while any(caller.task for caller in self.ingress.connections):
+            await asyncio.sleep(TARGET_CHECK_SECONDS / 10)
+        # Peers that have not heard yet still send; they get a truthful
+        # refusal that they re-route, where a closed port would be a failure.
+        await asyncio.sleep(LATE_CALLS_SECONDS)
+
+    async def stop(self) -> None:
+        """Closes everything."""
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        for server in self.servers:
+            server.close()
+        for caller in list(self.ingress.connections):
+            caller.close()
+        self.links.close()
+        self.guard.pool.close()
+        if self.gossip.transport is not None:
+            self.gossip.transport.close()
+        await self.admin_runner.cleanup()
+
+
+def own_member(
+    settings: settings_model.Settings, started: int
+) -> membership_model.Member:
+    """Returns what a starting node announces of itself."""
+    return membership_model.Member(
+        instance=settings.instance,
+        incarnation=started,
+        started=started,
+        status=membership_model.Status.ALIVE,
+        peers=settings.listen.peers,
+        admin=settings.listen.admin,
+        failure_domain=settings.failure_domain,
+        region=settings.region,
+        service=settings.target.service,
+        slots=0,
+        ramp_ms=settings.target.ramp_ms,
+        revision=0,
+    )
+
+
+async def run(settings: settings_model.Settings) -> int:
+    """Runs a node until it is asked to stop.
+
+    Returns:
+      0 after a graceful shutdown, 1 when calls were cut.
+    """
+    loop = asyncio.get_running_loop()
+    store = store_http.HttpStore(settings.store)
+    node = Node(
+        settings,
+        clock=clock_module.system_clock(),
+        loop=loop,
+        store=store,
+        rng=random.Random(secrets.randbits(64)),
+    )
+    for name in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(name, node.request_stop)
+    try:
+        await node.start()
+        await node.stopping.wait()
+        cut = await node.drain()
+    finally:
+        await node.stop()
+        await store.close()
+    return 1 if cut else 0
--- /dev/null
+++ b/src/currantcart/node/context.py
@@ -0,0 +1,101 @@
+"""What the parts of one node share."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import random
+
+from currantcart import clock as clock_module
+from currantcart.admission import throttle
+from currantcart.call import active, allowance
+from currantcart.config import view as config_view
+from currantcart.routing import router
+from currantcart.settings import model as settings_model
+from currantcart.telemetry import log, metrics, record, trace
+from currantcart.workspace import limiter
+
+
+@dataclasses.dataclass(slots=True)
+class NodeContext:
+    """State and tools of one node.
+
+    Attributes:
+      settings: Its settings.
+      clock: Time.
+      loop: The one loop.
+      rng: Random numbers for decisions.
+      config: Configuration in force.
+      active: Calls that run at the target.
+      router: Targets of all services.
+      limiter: Rates of the workspaces.
+      throttle: What was learned about shedding.
+      budget: Retry ratio of this node.
+      metrics: Metrics.
+      recorder: Record of decisions.
+      tracing: Spans.
+      logger: Logs.
+      draining: Whether the node is leaving.
+    """
+
+    settings: settings_model.Settings
+    clock: clock_module.Clock
+    loop: asyncio.AbstractEventLoop
+    rng: random.Random
+    config: config_view.ConfigState
+    active: active.ActiveCalls
+    router: router.Router
+    limiter: limiter.RateLimiter
+    throttle: throttle.EdgeThrottle
+    budget: allowance.RetryBudget
+    metrics: metrics.Metrics
+    recorder: record.Recorder
+    tracing: trace.Tracing
+    logger: log.Logger
+    draining: bool = False
+
+    @property
+    def instance(self) -> str:
+        """Name of this instance."""
+        return self.settings.instance
+
+    @property
+    def controlled(self) -> bool:
+        """Whether overload control is on."""
+        return self.settings.overload_control
+
+
+def build(
+    settings: settings_model.Settings,
+    *,
+    clock: clock_module.Clock,
+    loop: asyncio.AbstractEventLoop,
+    rng: random.Random,
+) -> NodeContext:
+    """Builds the state of a starting node."""
+    logger = log.get(instance=settings.instance)
+    return NodeContext(
+        settings=settings,
+        clock=clock,
+        loop=loop,
+        rng=rng,
+        config=config_view.ConfigState(),
+        active=active.ActiveCalls(
+            instance=settings.instance,
+            incarnation=int(clock.wall()),
+            fleet_secret=settings.secret(),
+        ),
+        router=router.Router(
+            place=router.Place(settings.failure_domain, settings.region),
+            rng=rng,
+        ),
+        limiter=limiter.RateLimiter(fleet_instances=settings.fleet_instances),
+        throttle=throttle.EdgeThrottle(rng=rng),
+        budget=allowance.RetryBudget(),
+        metrics=metrics.Metrics(),
+        recorder=record.Recorder(wall=clock.wall),
+        tracing=trace.Tracing(
+            settings.trace, instance=settings.instance, rng=rng, logger=logger
+        ),
+        logger=logger,
+    )
--- /dev/null
+++ b/src/currantcart/node/distribute.py
@@ -0,0 +1,207 @@
+"""Distribution of the configuration: few watchers, gossip, anti-entropy."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import xxhash
+
+from currantcart import errors
+from currantcart.config import document
+from currantcart.membership import messages as membership_messages
+from currantcart.membership import model as membership_model
+from currantcart.membership import table
+from currantcart.node import context as node_context
+from currantcart.node import links as node_links
+from currantcart.store import port
+from currantcart.wire import connection, messages
+
+WATCHERS_PER_DOMAIN = 2
+WATCH_MS = 10_000.0
+PAUSE_SECONDS_MIN = 0.3
+PAUSE_SECONDS_MAX = 1.5
+SYNC_SECONDS_MIN = 5.0
+SYNC_SECONDS_PER_MEMBER = 0.06
+
+
+def rank(instance: str) -> int:
+    """Returns the place of an instance among its failure domain's watchers."""
+    return xxhash.xxh64_intdigest(instance)
+
+
+def is_watcher(
+    own: membership_model.Member, members: list[membership_model.Member]
+) -> bool:
+    """Tells whether a node watches the store itself.
+
+    The lowest ranks of each failure domain do; so the store sees a number of
+    watches that does not grow with the fleet, and each domain keeps its own
+    way to the store when domains lose each other.
+    """
+    peers = [
+        member
+        for member in members
+        if member.failure_domain == own.failure_domain
+        and member.status is membership_model.Status.ALIVE
+        and member.instance != own.instance
+    ]
+    before = sum(1 for m in peers if rank(m.instance) < rank(own.instance))
+    return before < WATCHERS_PER_DOMAIN
+
+
+class Distributor:
+    """Brings each revision to this node, and on to others.
+
+    Attributes:
+      on_change: Called when a new revision is in force here.
+      store_calls: For the cost of control.
+    """
+
+    def __init__(
+        self,
+        context: node_context.NodeContext,
+        *,
+        store: port.Store,
+        links: node_links.Links,
+        members: table.MemberTable,
+        on_change: Callable[[], None],
+    ) -> None:
+        self.context = context
+        self.store = store
+        self.links = links
+        self.members = members
+        self.on_change = on_change
+        self.fetching: asyncio.Task[None] | None = None
+        self.store_index = 0
+        self.store_calls = 0
+
+    def offer(self, text: bytes, source: str) -> None:
+        """Takes a document if it is newer than what is in force."""
+        try:
+            changed = self.context.config.offer(text)
+        except errors.SettingsError as error:
+            self.context.logger.error(
+                "configuration refused", source=source, error=str(error)
+            )
+            return
+        if changed:
+            self.context.logger.info(
+                "configuration in force",
+                revision=self.context.config.revision,
+                source=source,
+            )
+            self.on_change()
+
+    def fetch_from(self, instance: str, address: str) -> None:
+        """Asks a peer that has a newer revision, one at a time."""
+        if self.fetching is None or self.fetching.done():
+            self.fetching = self.context.loop.create_task(
+                self.fetch(instance, address)
+            )
+
+    async def fetch(self, instance: str, address: str) -> None:
+        """Asks a peer for its configuration and its members."""
+        entry = self.members.entries.get(instance)
+        try:
+            if entry is not None:
+                stream = await self.links.reach(entry.member)
+            else:
+                stream = await self.links.dial(address)
+            stream.send(messages.Fetch(self.context.config.revision))
+        except errors.StreamError as error:
+            self.context.logger.debug("fetch failed", error=str(error))
+
+    def state_message(
+        self,
+        message: messages.Fetch | messages.State,
+        stream: connection.Connection,
+    ) -> None:
+        """Answers a peer that asks, or takes a peer's answer."""
+        if isinstance(message, messages.Fetch):
+            stream.send(self.state(message.revision))
+            return
+        if message.document:
+            self.offer(message.document, stream.peer)
+        now = self.context.clock.now()
+        for fields in message.members:
+            self.merge_member(fields, now)
+
+    def merge_member(self, fields: Any, now: float) -> None:
+        """Takes one member of a peer's table."""
+        try:
+            member = membership_messages.read_member(fields)
+        except ValueError as error:
+            raise messages.invalid(str(error)) from error
+        self.members.merge(member, now)
+
+    def state(self, revision: int) -> messages.State:
+        """Returns what a peer that has a revision lacks."""
+        view = self.context.config.view
+        newer = view is not None and view.revision > revision
+        return messages.State(
+            revision=self.context.config.revision,
+            document=view.text if view is not None and newer else b"",
+            members=[
+                membership_messages.member_fields(member)
+                for member in self.members.members()
+            ],
+        )
+
+    async def watch(self) -> None:
+        """Watches the store while this node ranks among the watchers."""
+        while True:
+            rank_high = is_watcher(self.members.own, self.members.members())
+            if rank_high or self.context.config.view is None:
+                try:
+                    await self.watch_once()
+                    continue
+                except port.StoreUnavailable as error:
+                    self.context.logger.warning(
+                        "store unavailable", error=str(error)
+                    )
+            # Spread over time: all watchers that lost the store at once
+            # would otherwise come back at once.
+            await asyncio.sleep(
+                self.context.rng.uniform(PAUSE_SECONDS_MIN, PAUSE_SECONDS_MAX)
+            )
+
+    async def watch_once(self) -> None:
+        """Waits for one change of the stored document."""
+        self.store_calls += 1
+        entry = await self.store.watch(
+            document.STORE_KEY, index=self.store_index, wait_ms=WATCH_MS
+        )
+        if entry.index < self.store_index:
+            self.context.logger.error(
+                "store went back",
+                code=errors.Code.STORE_REVERTED,
+                index=entry.index,
+                seen=self.store_index,
+            )
+        if entry.index == 0:
+            await asyncio.sleep(PAUSE_SECONDS_MIN)
+        elif entry.index != self.store_index:
+            self.offer(entry.value, "store")
+        self.store_index = entry.index
+
+    async def sync(self) -> None:
+        """Compares all state with a random peer now and then.
+
+        Gossip spreads news a bounded number of times; what a node missed
+        while it was paused or cut off comes to it this way.
+        """
+        while True:
+            others = self.members.others(membership_model.Status.ALIVE)
+            if others:
+                peer = self.context.rng.choice(others)
+                await self.fetch(peer.instance, peer.peers)
+            pause = max(SYNC_SECONDS_MIN, len(others) * SYNC_SECONDS_PER_MEMBER)
+            await asyncio.sleep(pause * self.context.rng.uniform(0.7, 1.3))
+
+    async def join(self) -> None:
+        """Asks the seeds for configuration and members at start."""
+        for seed in self.context.settings.seeds:
+            if seed != self.members.own.peers:
+                await self.fetch("", seed)
--- /dev/null
+++ b/src/currantcart/node/forward.py
@@ -0,0 +1,490 @@
+"""Forwarding: attempts at targets, and the answer's way to the caller."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from collections.abc import Callable
+
+from multidict import CIMultiDict
+
+from currantcart import errors
+from currantcart.admission import throttle
+from currantcart.call import model as call_model
+from currantcart.call import retry
+from currantcart.graph import model as graph_model
+from currantcart.http1 import headers, server
+from currantcart.membership import model as membership_model
+from currantcart.node import context as node_context
+from currantcart.node import links as node_links
+from currantcart.routing import router
+from currantcart.telemetry import record
+from currantcart.wire import call_stream, connection, messages
+
+NAIVE_ATTEMPTS = 3
+TARGET_FAULTS = frozenset({500, 502, 504})
+FAILURE_CODES = frozenset(
+    {
+        errors.Code.PEER_LOST,
+        errors.Code.PEER_UNREACHABLE,
+        errors.Code.TARGET_FAILED,
+        errors.Code.TARGET_UNREACHABLE,
+        errors.Code.ANSWER_ABORTED,
+    }
+)
+Arrive = Callable[[messages.Open, call_stream.CallStream], None]
+
+
+@dataclasses.dataclass(slots=True)
+class Body:
+    """What is here of a request's body when it is first sent.
+
+    Attributes:
+      chunk: First bytes.
+      last: Whether they are all.
+    """
+
+    chunk: bytes
+    last: bool
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """One attempt at one target.
+
+    Attributes:
+      candidate: The target.
+      lent: Retries lent to it.
+      stream: Its stream once it is open.
+      head: What came back.
+    """
+
+    candidate: router.Candidate
+    lent: int
+    stream: call_stream.CallStream | None = None
+    head: call_stream.Head | None = None
+
+
+class Forwarder:
+    """Forwards the calls that this node takes."""
+
+    def __init__(
+        self,
+        context: node_context.NodeContext,
+        *,
+        links: node_links.Links,
+        arrive: Arrive,
+    ) -> None:
+        self.context = context
+        self.links = links
+        self.arrive = arrive
+
+    async def forward(
+        self, call: call_model.Call, exchange: server.Exchange
+    ) -> int:
+        """Brings a call to a target and its answer back.
+
+        Returns:
+          The HTTP status that the caller got.
+
+        Raises:
+          errors.Refusal: No target answered.
+        """
+        remaining_ms = call.deadline_ms - self.context.clock.now()
+        try:
+            async with asyncio.timeout(max(0.0, remaining_ms / 1_000)):
+                return await Forwarding(self, call, exchange).run()
+        except TimeoutError:
+            if exchange.started:
+                exchange.abort()
+                return 504
+            raise errors.Refusal(
+                errors.Code.DEADLINE_EXCEEDED,
+                errors.Step.RELAY,
+                "the deadline passed",
+                not_run=False,
+            ) from None
+
+
+class Forwarding:
+    """One call on its way.
+
+    Attributes:
+      tried: Instances that failed for this call.
+      earlier_unknown: Whether an earlier attempt may have run the call.
+      body_sent: Whether bytes of a streamed body have left.
+      pump: Sends the rest of a streamed body.
+    """
+
+    def __init__(
+        self,
+        forwarder: Forwarder,
+        call: call_model.Call,
+        exchange: server.Exchange,
+    ) -> None:
+        self.forwarder = forwarder
+        self.context = forwarder.context
+        self.call = call
+        self.exchange = exchange
+        self.tried: set[str] = set()
+        self.earlier_unknown = False
+        self.body_sent = False
+        self.pump: asyncio.Task[None] | None = None
+
+    async def run(self) -> int:
+        """Makes attempts until one is final."""
+        body = await self.first_body()
+        attempts = retry.Attempts(
+            idempotent=self.call.idempotent, replayable=True
+        )
+        self.context.budget.first_attempt()
+        while True:
+            attempt = self.choose(attempts)
+            try:
+                await self.begin(attempt, body)
+                refusal = self.judge(attempt)
+                if refusal is None:
+                    retrying = self.retry_answer(attempt, attempts)
+                    if not retrying:
+                        return await self.relay(attempt)
+                elif not self.go_on(refusal, attempts):
+                    raise refusal
+            finally:
+                self.end(attempt)
+            self.tried.add(attempt.candidate.member.instance)
+
+    async def first_body(self) -> Body:
+        """Takes what is here of the body, without waiting for all of it."""
+        body = self.exchange.body
+        if body.is_eof() and body.total_bytes <= messages.CHUNK_BYTES_MAX:
+            return Body(body.read_nowait(), last=True)
+        return Body(b"", last=False)
+
+    def choose(self, attempts: retry.Attempts) -> Attempt:
+        """Picks the target of the next attempt."""
+        call = self.call
+        now = self.context.clock.now()
+        try:
+            candidate = self.context.router.pick(
+                call.service,
+                priority=call.priority,
+                exclude=self.tried,
+                now=now,
+            )
+        except errors.Refusal as refusal:
+            if attempts.retries and self.tried:
+                candidate = self.context.router.pick(
+                    call.service, priority=call.priority, exclude=(), now=now
+                )
+            else:
+                refusal.not_run = not self.earlier_unknown
+                raise
+        candidate.in_flight += 1
+        candidate.health.started()
+        self.note(record.Event.ROUTED, candidate.member.instance)
+        return Attempt(candidate=candidate, lent=call.allowance.lend())
+
+    def opening(self, attempt: Attempt, body: Body) -> messages.Open:
+        """Builds the opening message of an attempt."""
+        call = self.call
+        message = self.exchange.message
+        return messages.Open(
+            call_number=0,
+            call_id=call.call_id,
+            root_id=call.root_id,
+            service=call.service,
+            method=call.method,
+            path=call.path,
+            headers=headers.passed_on(
+                message.headers.items(),
+                stripped=headers.FROM_CALLER_STRIPPED,
+                connection=message.headers.get("Connection", ""),
+            ),
+            workspace=call.workspace,
+            key_id=call.key_id,
+            importance=int(call.importance),
+            priority=call.priority,
+            idempotent=call.idempotent,
+            remaining_ms=call.deadline_ms - self.context.clock.now(),
+            allowance=attempt.lent,
+            depth=call.depth,
+            traceparent=call.traceparent,
+            chunk=body.chunk,
+            last=body.last,
+        )
+
+    async def begin(self, attempt: Attempt, body: Body) -> None:
+        """Opens the call at the target's node and waits for a head."""
+        member = attempt.candidate.member
+        try:
+            attempt.stream = await self.open(member, attempt, body)
+            if not body.last:
+                self.exchange.continue_body()
+                self.pump = self.context.loop.create_task(
+                    self.send_body(attempt.stream)
+                )
+            attempt.head = await attempt.stream.answer()
+        except errors.StreamError as error:
+            attempt.head = self.failed_head(attempt, error)
+
+    async def open(
+        self,
+        member: membership_model.Member,
+        attempt: Attempt,
+        body: Body,
+    ) -> call_stream.CallStream:
+        """Opens the stream of an attempt."""
+        opening = self.opening(attempt, body)
+        if member.instance == self.context.instance:
+            here, there = connection.join_local(
+                opening, instance=member.instance, loop=self.context.loop
+            )
+            self.forwarder.arrive(opening, there)
+            return here
+        link = self.forwarder.links.current(member.instance)
+        if link is None:
+            link = await self.forwarder.links.reach(member)
+        return link.open(opening)
+
+    def failed_head(
+        self, attempt: Attempt, error: errors.StreamError
+    ) -> messages.Refuse:
+        """Returns the refusal that a broken stream amounts to."""
+        member = attempt.candidate.member
+        return messages.Refuse(
+            call_number=0,
+            code=error.code,
+            step=error.step,
+            peer=error.peer or member.instance,
+            detail=error.detail,
+            not_run=attempt.stream is None,
+            retry_after_ms=0.0,
+            allowance=attempt.lent if attempt.stream is None else 0,
+            shed_level=graph_model.NO_SHEDDING,
+            load=0.0,
+            limit=0.0,
+        )
+
+    def judge(self, attempt: Attempt) -> errors.Refusal | None:
+        """Learns from what came back.
+
+        Returns:
+          The refusal, or None for an answer of the target.
+        """
+        head, candidate = attempt.head, attempt.candidate
+        assert head is not None
+        now = self.context.clock.now()
+        self.call.allowance.give_back(head.allowance, lent=attempt.lent)
+        if head.limit > 0:
+            self.context.router.report(
+                candidate,
+                load=head.load,
+                limit=head.limit,
+                shed_level=head.shed_level,
+                now=now,
+            )
+        if isinstance(head, messages.Answer):
+            self.judge_answer(head, candidate, now)
+            return None
+        return self.judge_refusal(head, candidate, now)
+
+    def judge_answer(
+        self,
+        answer: messages.Answer,
+        candidate: router.Candidate,
+        now: float,
+    ) -> None:
+        """Learns from a target's answer."""
+        shed_below = (
+            answer.status >= 500 and answer.shed_level > graph_model.NO_SHEDDING
+        )
+        if answer.status in TARGET_FAULTS and not shed_below:
+            candidate.health.failed(now)
+        else:
+            candidate.health.succeeded()
+        self.learn(accepted=not shed_below, shed_level=answer.shed_level)
+
+    def judge_refusal(
+        self,
+        refuse: messages.Refuse,
+        candidate: router.Candidate,
+        now: float,
+    ) -> errors.Refusal:
+        """Learns from a refusal."""
+        refusal = errors.Refusal(
+            errors.Code(refuse.code),
+            errors.Step(refuse.step),
+            refuse.detail,
+            not_run=refuse.not_run and not self.earlier_unknown,
+            peer=refuse.peer,
+            retry_after_ms=refuse.retry_after_ms,
+            shed_level=refuse.shed_level,
+        )
+        if refusal.code in FAILURE_CODES:
+            candidate.health.failed(now)
+        else:
+            candidate.health.released()
+        self.learn(
+            accepted=refusal.code is not errors.Code.OVERLOADED,
+            shed_level=refuse.shed_level,
+        )
+        return refusal
+
+    def learn(self, *, accepted: bool, shed_level: int) -> None:
+        """Feeds the throttle, and the parent whose answer carries it on."""
+        call = self.call
+        stream = throttle.Stream(call.service, call.workspace, call.priority)
+        self.context.throttle.answered(
+            stream,
+            accepted=accepted,
+            shed_level=shed_level,
+            now=self.context.clock.now(),
+        )
+        if call.parent is not None and not accepted:
+            call.parent.note_shedding(max(shed_level, call.priority))
+
+    def go_on(self, refusal: errors.Refusal, attempts: retry.Attempts) -> bool:
+        """Decides whether another attempt follows a refusal."""
+        if self.pump is not None and self.body_was_taken():
+            attempts.replayable = False
+        if not refusal.not_run:
+            self.earlier_unknown = True
+        if not self.context.controlled:
+            return self.go_on_naively(attempts)
+        following = attempts.after_refusal(
+            code=refusal.code,
+            not_run=refusal.not_run,
+            remaining=self.call.allowance,
+            budget=self.context.budget,
+        )
+        return self.note_next(following, refusal.code)
+
+    def go_on_naively(self, attempts: retry.Attempts) -> bool:
+        """Retries as a plain proxy does; only for baselines."""
+        attempts.retries += 1
+        return attempts.replayable and attempts.retries < NAIVE_ATTEMPTS
+
+    def retry_answer(self, attempt: Attempt, attempts: retry.Attempts) -> bool:
+        """Decides whether another attempt follows a target's answer."""
+        answer = attempt.head
+        assert isinstance(answer, messages.Answer)
+        if self.pump is not None and self.body_was_taken():
+            attempts.replayable = False
+        if not self.context.controlled:
+            return answer.status >= 500 and self.go_on_naively(attempts)
+        following = attempts.after_status(
+            answer.status,
+            remaining=self.call.allowance,
+            budget=self.context.budget,
+        )
+        if following is retry.Next.RETRY:
+            self.earlier_unknown = True
+        return self.note_next(following, str(answer.status))
+
+    def note_next(self, following: retry.Next, why: str) -> bool:
+        """Records what follows a failed attempt."""
+        if following is retry.Next.STOP:
+            return False
+        event = (
+            record.Event.RETRIED
+            if following is retry.Next.RETRY
+            else record.Event.REROUTED
+        )
+        self.context.metrics.retries.labels(
+            self.call.service, following.value
+        ).inc()
+        self.note(event, "", detail=why)
+        return True
+
+    def body_was_taken(self) -> bool:
+        """Tells whether bytes of a streamed body have left for a target."""
+        return self.body_sent
+
+    async def send_body(self, stream: call_stream.CallStream) -> None:
+        """Passes the caller's body on as fast as the target takes it."""
+        body = self.exchange.body
+        try:
+            await stream.wait_for_credit()
+            self.body_sent = True
+            while not body.at_eof():
+                chunk = await body.readany()
+                await stream.send(chunk, last=body.at_eof())
+            if not stream.sent_last:
+                await stream.send(b"", last=True)
+        except errors.StreamError:
+            return
+        except server.PAYLOAD_ERRORS as error:
+            stream.reset(errors.Code.BODY_INCOMPLETE, str(error))
+            stream.fail(
+                errors.StreamError(
+                    errors.Code.BODY_INCOMPLETE, "the body was cut short"
+                )
+            )
+
+    async def relay(self, attempt: Attempt) -> int:
+        """Sends the target's answer to the caller."""
+        answer, stream = attempt.head, attempt.stream
+        assert isinstance(answer, messages.Answer)
+        assert stream is not None
+        fields = answer_headers(answer, self.call)
+        if stream.at_end or answer.last:
+            await self.exchange.start(
+                answer.status, fields, whole=stream.read_nowait()
+            )
+            whole = answer.chunk if self.call.method != "HEAD" else b""
+            await self.exchange.finish(whole)
+        else:
+            await self.relay_stream(answer, stream, fields)
+        self.note(record.Event.ANSWERED, "", detail=str(answer.status))
+        return answer.status
+
+    async def relay_stream(
+        self,
+        answer: messages.Answer,
+        stream: call_stream.CallStream,
+        fields: CIMultiDict[str],
+    ) -> None:
+        """Passes a streamed answer on as fast as the caller takes it."""
+        await self.exchange.start(answer.status, fields, whole=None)
+        try:
+            while not stream.at_end:
+                chunk = await stream.read()
+                if chunk:
+                    await self.exchange.write(chunk)
+        except errors.StreamError:
+            # The head is out already; a cut connection is the only sign
+            # that this is not the whole answer.
+            self.exchange.abort()
+            return
+        await self.exchange.finish()
+
+    def end(self, attempt: Attempt) -> None:
+        """Gives back what an attempt held."""
+        attempt.candidate.in_flight -= 1
+        if attempt.head is None:
+            attempt.candidate.health.released()
+        if self.pump is not None:
+            self.pump.cancel()
+            self.pump = None
+        if attempt.stream is not None:
+            attempt.stream.reset(errors.Code.CANCELLED, "given up")
+
+    def note(self, event: record.Event, peer: str, *, detail: str = "") -> None:
+        """Records a decision on the call."""
+        self.context.recorder.note(
+            event,
+            root_id=self.call.root_id,
+            call_id=self.call.call_id,
+            service=self.call.service,
+            peer=peer,
+            detail=detail,
+        )
+
+
+def answer_headers(
+    answer: messages.Answer, call: call_model.Call
+) -> CIMultiDict[str]:
+    """Returns the headers of an answer for the caller."""
+    fields = headers.to_multidict(answer.headers)
+    fields[headers.CALL_ID] = call.call_id
+    return fields
--- /dev/null
+++ b/src/currantcart/node/gossip.py
@@ -0,0 +1,97 @@
+"""Gossip over UDP: the detector's datagrams and their clock."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import cast
+
+from currantcart import errors
+from currantcart.membership import detector, messages
+from currantcart.node import context as node_context
+from currantcart.settings import model as settings_model
+
+TICK_SECONDS = 0.1
+
+
+class Gossip(asyncio.DatagramProtocol):
+    """The gossip of one node.
+
+    Attributes:
+      detector: Decides what is sent.
+      on_news: Called when the member table changed.
+      on_revision: Called with a sender and its newer revision.
+      bytes_sent: For the cost of control.
+    """
+
+    def __init__(
+        self,
+        context: node_context.NodeContext,
+        *,
+        failure_detector: detector.Detector,
+        on_news: Callable[[], None],
+        on_revision: Callable[[str, str], None],
+    ) -> None:
+        self.context = context
+        self.detector = failure_detector
+        self.on_news = on_news
+        self.on_revision = on_revision
+        self.key = messages.derive_key(context.settings.secret())
+        self.transport: asyncio.DatagramTransport | None = None
+        self.table_version = -1
+        self.bytes_sent = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keeps the socket."""
+        self.transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Takes a datagram; a forged or broken one is counted and dropped."""
+        del addr
+        try:
+            datagram = messages.decode(self.key, data)
+        except errors.StreamError as error:
+            self.context.metrics.streams.labels(error.code).inc()
+            return
+        now = self.context.clock.now()
+        self.send(self.detector.receive(datagram, now))
+        self.check_news()
+        if datagram.revision > self.context.config.revision:
+            self.on_revision(datagram.sender, datagram.sender_address)
+
+    def send(self, outgoing: list[detector.Outgoing]) -> None:
+        """Sends datagrams."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        for item in outgoing:
+            data = messages.encode(self.key, item.datagram)
+            self.bytes_sent += len(data)
+            self.transport.sendto(
+                data, settings_model.split_address(item.address)
+            )
+
+    def check_news(self) -> None:
+        """Tells the node when the member table changed."""
+        if self.table_version != self.detector.table.version:
+            self.table_version = self.detector.table.version
+            self.on_news()
+
+    async def run(self) -> None:
+        """Ticks until cancelled."""
+        while True:
+            self.detector.revision = self.context.config.revision
+            self.send(self.detector.tick(self.context.clock.now()))
+            self.check_news()
+            await asyncio.sleep(TICK_SECONDS)
+
+    def announce(self) -> None:
+        """Tells all others at once of news about this node."""
+        self.detector.revision = self.context.config.revision
+        self.send(self.detector.farewell())
+        self.check_news()
+
+    def spread_rumour(self) -> None:
+        """Tells a few random peers of a new revision, who tell others."""
+        self.detector.revision = self.context.config.revision
+        self.send(self.detector.rumour())
+        self.check_news()
--- /dev/null
+++ b/src/currantcart/node/ingress.py
@@ -0,0 +1,188 @@
+"""The way in: takes calls from callers and from the node's own target."""
+
+from __future__ import annotations
+
+import asyncio
+
+from currantcart import errors
+from currantcart.admission import throttle
+from currantcart.call import model as call_model
+from currantcart.http1 import server
+from currantcart.node import context as node_context
+from currantcart.node import forward, intake, problem
+from currantcart.telemetry import record
+
+CLIENT_CLOSED = 499
+
+
+class Ingress:
+    """Answers the exchanges of one node.
+
+    Attributes:
+      connections: Open connections of callers.
+    """
+
+    def __init__(
+        self,
+        context: node_context.NodeContext,
+        *,
+        forwarder: forward.Forwarder,
+    ) -> None:
+        self.context = context
+        self.intake = intake.Intake(context)
+        self.forwarder = forwarder
+        self.connections: set[server.ServerConnection] = set()
+
+    def accept(self) -> server.ServerConnection:
+        """Returns the protocol of a caller's new connection."""
+        return server.ServerConnection(
+            handler=self.handle,
+            refuse=self.refuse_bytes,
+            registry=self.connections,
+            loop=self.context.loop,
+        )
+
+    def refuse_bytes(
+        self, exchange: server.Exchange | None, refusal: errors.Refusal
+    ) -> bytes:
+        """Returns the answer to bytes that are no request."""
+        del exchange
+        self.context.metrics.refusals.labels("", refusal.code).inc()
+        return problem.raw_response(refusal, instance=self.context.instance)
+
+    async def handle(self, exchange: server.Exchange) -> None:
+        """Answers one exchange."""
+        call: call_model.Call | None = None
+        try:
+            message = exchange.message
+            call = self.intake.check(
+                message.method, message.path, message.headers
+            )
+            self.admit(call)
+            await self.serve(call, exchange)
+        except errors.Refusal as refusal:
+            await self.refuse(exchange, call, refusal)
+        except ConnectionError:
+            exchange.abort()
+        except asyncio.CancelledError:
+            if call is not None:
+                self.note(record.Event.CANCELLED, call, "the caller left")
+            exchange.abort()
+        except Exception:
+            # A fault of ours must not take the node down; it is shown whole.
+            self.context.logger.exception("call failed", step="relay")
+            exchange.abort()
+
+    def admit(self, call: call_model.Call) -> None:
+        """Applies what this node decides on its own before routing."""
+        self.note(record.Event.ACCEPTED, call, call.workspace)
+        if not self.context.controlled:
+            return
+        now = self.context.clock.now()
+        if call.parent is None:
+            view = self.context.config.require()
+            self.context.limiter.admit(view.workspaces[call.workspace], now)
+        if not self.context.throttle.admit(stream_of(call), now):
+            level = self.context.throttle.level(call.service, now)
+            raise errors.Refusal(
+                errors.Code.OVERLOADED,
+                errors.Step.ADMIT,
+                f"{call.service} or a service below it is overloaded",
+                not_run=True,
+                retry_after_ms=throttle.HALF_WINDOW_MS,
+                shed_level=level,
+            )
+
+    async def serve(
+        self, call: call_model.Call, exchange: server.Exchange
+    ) -> None:
+        """Brings a call to a target and its answer back to the caller."""
+        started_ms = self.context.clock.now()
+        task = asyncio.current_task()
+        assert task is not None
+        if call.parent is not None:
+            call.parent.cancels.add(task.cancel)
+        hop = self.context.tracing.begin("call", call.traceparent)
+        if hop is not None:
+            call.traceparent = hop.traceparent
+        status = CLIENT_CLOSED
+        try:
+            status = await self.forwarder.forward(call, exchange)
+        finally:
+            if call.parent is not None:
+                call.parent.cancels.discard(task.cancel)
+            if hop is not None:
+                hop.end(
+                    service=call.service,
+                    instance=self.context.instance,
+                    call_id=call.call_id,
+                    status=status,
+                )
+        self.count(call, started_ms, status)
+
+    def count(
+        self, call: call_model.Call, started_ms: float, status: int
+    ) -> None:
+        """Counts an answered call."""
+        metrics = self.context.metrics
+        seconds = (self.context.clock.now() - started_ms) / 1_000
+        metrics.latency.labels(call.service).observe(seconds)
+        outcome = f"{status // 100}xx"
+        metrics.calls.labels(call.service, outcome).inc()
+
+    async def refuse(
+        self,
+        exchange: server.Exchange,
+        call: call_model.Call | None,
+        refusal: errors.Refusal,
+    ) -> None:
+        """Sends the final answer to a call that was given up, at once."""
+        service = call.service if call else ""
+        self.context.metrics.refusals.labels(service, refusal.code).inc()
+        call_id = ""
+        if call is not None:
+            call_id = call.call_id
+            self.note(
+                record.Event.REFUSED, call, f"{refusal.code}: {refusal.detail}"
+            )
+            self.learn_from_refusal(call, refusal)
+        if exchange.started:
+            exchange.abort()
+            return
+        body = problem.body_of(
+            refusal, instance=self.context.instance, call_id=call_id
+        )
+        try:
+            await exchange.respond(
+                refusal.status,
+                problem.headers_of(refusal, call_id=call_id),
+                body,
+            )
+        except ConnectionError:
+            exchange.abort()
+
+    def learn_from_refusal(
+        self, call: call_model.Call, refusal: errors.Refusal
+    ) -> None:
+        """Notes overload for the parent, whose own answer carries it on."""
+        overloaded = refusal.code is errors.Code.OVERLOADED
+        if overloaded and call.parent is not None:
+            level = max(refusal.shed_level, call.priority)
+            call.parent.note_shedding(level)
+
+    def note(
+        self, event: record.Event, call: call_model.Call, detail: str
+    ) -> None:
+        """Records a decision on a call."""
+        self.context.recorder.note(
+            event,
+            root_id=call.root_id,
+            call_id=call.call_id,
+            service=call.service,
+            detail=detail,
+        )
+
+
+def stream_of(call: call_model.Call) -> throttle.Stream:
+    """Returns the stream under which a call is throttled."""
+    return throttle.Stream(call.service, call.workspace, call.priority)
--- /dev/null
+++ b/src/currantcart/node/intake.py
@@ -0,0 +1,253 @@
+"""Checks that turn a request into a call: key or context, graph, deadline.
+
+Pure decisions on the parsed head of a request; nothing here does I/O.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+import secrets
+from collections.abc import Iterator
+
+from multidict import CIMultiDictProxy
+
+from currantcart import errors
+from currantcart.call import active, allowance, deadline
+from currantcart.call import model as call_model
+from currantcart.config import view as config_view
+from currantcart.graph import model as graph_model
+from currantcart.http1 import headers
+from currantcart.node import context as node_context
+from currantcart.workspace import model as workspace_model
+
+IDEMPOTENCY_KEY_CHARS_MAX = 128
+
+
+def refuse(code: errors.Code, step: errors.Step, detail: str) -> errors.Refusal:
+    """Returns a refusal of a call that was handed to no one."""
+    return errors.Refusal(code, step, detail, not_run=True)
+
+
+def new_call_ids() -> Iterator[str]:
+    """Yields ids that are unique over nodes and restarts."""
+    prefix = secrets.token_hex(6)
+    for number in itertools.count():
+        yield f"{prefix}{number:08x}"
+
+
+def split_path(raw: str) -> tuple[str, str]:
+    """Splits `/service/rest?query` into the service and the target's path."""
+    if not raw.startswith("/"):
+        raise refuse(
+            errors.Code.BAD_REQUEST,
+            errors.Step.PARSE,
+            "the path must start with /SERVICE",
+        )
+    end = len(raw)
+    for mark in "/?":
+        found = raw.find(mark, 1)
+        if found != -1:
+            end = min(end, found)
+    rest = raw[end:]
+    return raw[1:end], rest if rest.startswith("/") else f"/{rest}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Origin:
+    """Where a call comes from: a key or a running parent."""
+
+    workspace: str
+    key_id: str
+    parent: active.ActiveCall | None
+
+
+class Intake:
+    """The checks of one node."""
+
+    def __init__(self, context: node_context.NodeContext) -> None:
+        self.context = context
+        self.call_ids = new_call_ids()
+
+    def check(
+        self, method: str, raw_path: str, given: CIMultiDictProxy[str]
+    ) -> call_model.Call:
+        """Turns the head of a request into a call.
+
+        Raises:
+          errors.Refusal: A check fails; the call was handed to no one.
+        """
+        now = self.context.clock.now()
+        view = self.context.config.require()
+        name, path = split_path(raw_path)
+        timeout_ms = deadline.parse_timeout(given.get(headers.TIMEOUT))
+        check_idempotency_key(given.get(headers.IDEMPOTENCY_KEY))
+        origin = self.find_origin(view, given, now)
+        service = find_service(view, name, origin.parent)
+        route = service.route(method, path)
+        deadline_ms = deadline.earliest(
+            now=now,
+            timeout_ms=timeout_ms,
+            patience_ms=service.patience_at(
+                self.context.clock.wall(),
+                utc_offset_minutes=view.graph.utc_offset_minutes,
+            ),
+            parent_deadline_ms=(
+                origin.parent.deadline_ms if origin.parent else None
+            ),
+        )
+        workspace = view.workspaces[origin.workspace]
+        if origin.parent is None:
+            return self.root_call(
+                view, workspace, origin, service, route, method, path,
+                deadline_ms, given.get(headers.TRACEPARENT, ""),
+            )  # fmt: skip
+        return self.child_call(
+            workspace, origin.parent, service, route, method, path, deadline_ms
+        )
+
+    def find_origin(
+        self,
+        view: config_view.View,
+        given: CIMultiDictProxy[str],
+        now: float,
+    ) -> Origin:
+        """Finds out whose call it is."""
+        token = given.get(headers.CONTEXT)
+        if token is not None:
+            parent = self.context.active.parent(token, now=now)
+            if parent.key_id not in view.key_ids:
+                raise refuse(
+                    errors.Code.KEY_UNKNOWN,
+                    errors.Step.AUTHENTICATE,
+                    "the key of the root call was withdrawn",
+                )
+            return Origin(parent.workspace, parent.key_id, parent)
+        shown = headers.bearer_key(given.get(headers.AUTHORIZATION))
+        if shown is None:
+            raise refuse(
+                errors.Code.KEY_MISSING,
+                errors.Step.AUTHENTICATE,
+                "neither a key nor a call context came with the call",
+            )
+        key = view.keys_by_digest.get(workspace_model.digest_of(shown))
+        if key is None:
+            raise refuse(
+                errors.Code.KEY_UNKNOWN,
+                errors.Step.AUTHENTICATE,
+                "the key is unknown or was withdrawn",
+            )
+        return Origin(key.workspace, key.key_id, None)
+
+    def root_call(
+        self,
+        view: config_view.View,
+        workspace: workspace_model.Workspace,
+        origin: Origin,
+        service: graph_model.Service,
+        route: graph_model.Route,
+        method: str,
+        path: str,
+        deadline_ms: float,
+        traceparent: str,
+    ) -> call_model.Call:
+        """Builds a root call, which creates the allowance of its chain."""
+        del view
+        call_id = next(self.call_ids)
+        importance = min(route.importance, service.max_importance)
+        return call_model.Call(
+            call_id=call_id,
+            root_id=call_id,
+            service=service.name,
+            method=method,
+            path=path,
+            workspace=workspace.name,
+            key_id=origin.key_id,
+            importance=importance,
+            priority=graph_model.priority(
+                importance, workspace.importance, depth=0
+            ),
+            idempotent=route.idempotent,
+            deadline_ms=deadline_ms,
+            allowance=allowance.Allowance(service.retries),
+            depth=0,
+            parent=None,
+            traceparent=traceparent,
+        )
+
+    def child_call(
+        self,
+        workspace: workspace_model.Workspace,
+        parent: active.ActiveCall,
+        service: graph_model.Service,
+        route: graph_model.Route,
+        method: str,
+        path: str,
+        deadline_ms: float,
+    ) -> call_model.Call:
+        """Builds a call of the target's own; it inherits from its parent."""
+        depth = parent.depth + 1
+        if depth >= graph_model.DEPTH_MAX:
+            raise refuse(
+                errors.Code.TOO_DEEP,
+                errors.Step.GRAPH,
+                f"the chain is {depth + 1} deep, "
+                f"allowed: {graph_model.DEPTH_MAX}",
+            )
+        importance = min(parent.importance, service.max_importance)
+        return call_model.Call(
+            call_id=next(self.call_ids),
+            root_id=parent.root_id,
+            service=service.name,
+            method=method,
+            path=path,
+            workspace=workspace.name,
+            key_id=parent.key_id,
+            importance=importance,
+            priority=graph_model.priority(
+                importance, workspace.importance, depth=depth
+            ),
+            idempotent=route.idempotent,
+            deadline_ms=deadline_ms,
+            allowance=parent.allowance,
+            depth=depth,
+            parent=parent,
+            traceparent=parent.traceparent,
+        )
+
+
+def check_idempotency_key(value: str | None) -> None:
+    """Checks the form of an idempotency key."""
+    if value is None:
+        return
+    printable = value.isascii() and value.isprintable()
+    if not (printable and 0 < len(value) <= IDEMPOTENCY_KEY_CHARS_MAX):
+        raise refuse(
+            errors.Code.IDEMPOTENCY_KEY_INVALID,
+            errors.Step.PARSE,
+            f"Idempotency-Key: allowed: 1 to {IDEMPOTENCY_KEY_CHARS_MAX} "
+            "printable ASCII characters",
+        )
+
+
+def find_service(
+    view: config_view.View, name: str, parent: active.ActiveCall | None
+) -> graph_model.Service:
+    """Finds the called service and checks that the parent may call it."""
+    service = view.graph.services.get(name)
+    if service is None:
+        raise refuse(
+            errors.Code.UNKNOWN_SERVICE,
+            errors.Step.GRAPH,
+            f"service {name[:64]!r} is not in the services text",
+        )
+    if parent is None:
+        return service
+    caller = view.graph.services.get(parent.service)
+    if caller is None or name not in caller.depends_on:
+        raise refuse(
+            errors.Code.NOT_A_DEPENDENCY,
+            errors.Step.GRAPH,
+            f"{parent.service} does not depend on {name}",
+        )
+    return service
--- /dev/null
+++ b/src/currantcart/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of a target among those of a service."""
--- /dev/null
+++ b/src/currantcart/routing/score.py
@@ -0,0 +1,44 @@
+"""Cost of sending one more call to a target; the least cost wins.
+
+The cost of utilization rises in three regions, as the marginal costs in
+"Content-aware Load Balancing for Distributed Backup", section 4.1: slowly to
+80%, faster to 100%, steeply above. So the distance between failure domains
+decides among targets with room, and is small beside a target near its limit.
+"""
+
+from __future__ import annotations
+
+COMFORT = 0.8
+FULL = 1.0
+SLOPE_COMFORT = 1.0
+SLOPE_TIGHT = 6.0
+SLOPE_OVER = 30.0
+DISTANCE_COST_DOMAIN = 0.35
+DISTANCE_COST_REGION = 3.0
+SHEDDING_COST = 20.0
+
+
+def utilization_cost(utilization: float) -> float:
+    """Returns the cost of a utilization; 1 is the target's limit."""
+    cost = SLOPE_COMFORT * min(utilization, COMFORT)
+    if utilization > COMFORT:
+        cost += SLOPE_TIGHT * (min(utilization, FULL) - COMFORT)
+    if utilization > FULL:
+        cost += SLOPE_OVER * (utilization - FULL)
+    return cost
+
+
+def ramp_share(age_ms: float, *, ramp_ms: float) -> float:
+    """Returns the share of its limit that a started target may use."""
+    if ramp_ms <= 0 or age_ms >= ramp_ms:
+        return 1.0
+    return max(0.1, age_ms / ramp_ms)
+
+
+def distance_cost(*, same_domain: bool, same_region: bool) -> float:
+    """Returns the cost of the way to a target."""
+    if same_domain:
+        return 0.0
+    if same_region:
+        return DISTANCE_COST_DOMAIN
+    return DISTANCE_COST_REGION
--- /dev/null
+++ b/src/currantcart/run.py
@@ -0,0 +1,66 @@
+"""Runs the command line and turns errors into one line and a status."""
+
+from __future__ import annotations
+
+import sys
+
+from cleo import application
+from cleo.exceptions import CleoError
+
+import currantcart
+from currantcart import errors
+from currantcart.cli import base, fleet, node, services, workspaces
+
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+
+COMMANDS = (
+    node.NodeCommand,
+    node.SettingsCheckCommand,
+    services.ServicesCheckCommand,
+    services.ServicesApplyCommand,
+    services.ServicesShowCommand,
+    services.HistoryCommand,
+    workspaces.WorkspaceCreateCommand,
+    workspaces.WorkspaceSetCommand,
+    workspaces.WorkspaceListCommand,
+    workspaces.KeyGiveCommand,
+    workspaces.KeyWithdrawCommand,
+    workspaces.KeyListCommand,
+    fleet.StatusCommand,
+    fleet.ExplainCommand,
+)
+
+
+def build_application() -> application.Application:
+    """Returns the command line application."""
+    built = application.Application("currantcart", currantcart.__version__)
+    built.auto_exits(False)
+    built.catch_exceptions(False)
+    for command in COMMANDS:
+        built.add(command())
+    return built
+
+
+def main() -> int:
+    """Runs the command line.
+
+    Returns:
+      0 when done, 1 when refused or failed, 2 for wrong usage.
+    """
+    try:
+        return build_application().run()
+    except base.UsageError as error:
+        sys.stderr.write(f"currantcart: {error}\n")
+        return EXIT_USAGE
+    except errors.CurrantcartError as error:
+        sys.stderr.write(f"currantcart: {error}\n")
+        return EXIT_FAILED
+    except CleoError as error:
+        sys.stderr.write(f"currantcart: [usage] {error}\n")
+        return EXIT_USAGE
+
+
+def run() -> None:
+    """Runs the command line and exits with its status."""
+    sys.exit(main())
--- /dev/null
+++ b/src/currantcart/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of one process: JSON with comments, validated."""
--- /dev/null
+++ b/src/currantcart/store/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's key-value service: port and adapter."""
--- /dev/null
+++ b/src/currantcart/store/http.py
@@ -0,0 +1,178 @@
+"""Adapter for a store with the key-value HTTP interface of Consul.
+
+Published at developer.hashicorp.com/consul/api-docs/kv and .../session: reads
+with `index` and `wait` block until a change, writes with `cas` compare, and
+sessions with the delete behaviour are the leases.
+"""
+
+from __future__ import annotations
+
+import base64
+import json
+from typing import Any
+
+import aiohttp
+
+from currantcart.store import port
+
+READ_SECONDS_MAX = 2.0
+WRITE_SECONDS_MAX = 3.0
+WATCH_SLACK_SECONDS = 2.0
+NOT_FOUND = 404
+
+
+class HttpStore:
+    """The port over HTTP.
+
+    Attributes:
+      address: Host and port of the service.
+    """
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.session: aiohttp.ClientSession | None = None
+
+    def open_session(self) -> aiohttp.ClientSession:
+        """Returns the session, made on first use inside the loop."""
+        if self.session is None:
+            self.session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=8)
+            )
+        return self.session
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        if self.session is not None:
+            await self.session.close()
+
+    async def read(
+        self, path: str, params: dict[str, str], *, seconds: float
+    ) -> bytes | None:
+        """Gets a path; None when the store says that there is nothing."""
+        try:
+            async with self.open_session().get(
+                f"http://{self.address}{path}",
+                params=params,
+                timeout=aiohttp.ClientTimeout(total=seconds),
+            ) as response:
+                body = await response.read()
+                if response.status == NOT_FOUND:
+                    return None
+                self.check_status(response.status)
+                return body
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            raise self.unavailable(error) from error
+
+    async def write(
+        self, path: str, params: dict[str, str], body: bytes
+    ) -> bytes | None:
+        """Puts a path; None when the store says that there is nothing."""
+        try:
+            async with self.open_session().put(
+                f"http://{self.address}{path}",
+                params=params,
+                data=body,
+                timeout=aiohttp.ClientTimeout(total=WRITE_SECONDS_MAX),
+            ) as response:
+                answer = await response.read()
+                if response.status == NOT_FOUND:
+                    return None
+                self.check_status(response.status)
+                return answer
+        except aiohttp.ClientConnectorError as error:
+            # No connection came about, so not a byte was sent.
+            raise self.unavailable(error) from error
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            raise port.StoreOutcomeUnknown(
+                f"the answer was lost: {error or type(error).__name__}",
+                peer=self.address,
+            ) from error
+
+    def check_status(self, status: int) -> None:
+        """Raises for an answer that is a fault of the store."""
+        if status >= 400:
+            raise port.StoreUnavailable(
+                f"the store answered {status}", peer=self.address
+            )
+
+    def unavailable(self, error: BaseException) -> port.StoreUnavailable:
+        """Returns the error for a store that cannot be reached."""
+        return port.StoreUnavailable(
+            f"no answer: {error or type(error).__name__}", peer=self.address
+        )
+
+    def parse(self, body: bytes) -> Any:
+        """Parses the store's JSON."""
+        try:
+            return json.loads(body)
+        except ValueError as error:
+            raise port.StoreUnavailable(
+                "the store's answer is no JSON", peer=self.address
+            ) from error
+
+    def entry(self, body: bytes | None) -> port.Entry:
+        """Reads the entry of a key."""
+        if body is None:
+            return port.MISSING
+        try:
+            found = self.parse(body)[0]
+            return port.Entry(
+                value=base64.b64decode(found["Value"] or ""),
+                index=int(found["ModifyIndex"]),
+                lease=str(found.get("Session") or ""),
+            )
+        except (LookupError, TypeError, ValueError) as error:
+            raise port.StoreUnavailable(
+                "the store's answer has no entry", peer=self.address
+            ) from error
+
+    async def get(self, key: str) -> port.Entry:
+        """Reads a key."""
+        return self.entry(
+            await self.read(f"/v1/kv/{key}", {}, seconds=READ_SECONDS_MAX)
+        )
+
+    async def compare_and_swap(
+        self, key: str, value: bytes, *, index: int
+    ) -> bool:
+        """Writes a key if it still has an index."""
+        answer = await self.write(f"/v1/kv/{key}", {"cas": str(index)}, value)
+        return answer is not None and self.parse(answer) is True
+
+    async def watch(
+        self, key: str, *, index: int, wait_ms: float
+    ) -> port.Entry:
+        """Waits for a change after an index."""
+        params = {"index": str(index), "wait": f"{int(wait_ms)}ms"}
+        seconds = wait_ms / 1_000 + WATCH_SLACK_SECONDS
+        return self.entry(
+            await self.read(f"/v1/kv/{key}", params, seconds=seconds)
+        )
+
+    async def grant_lease(self, *, ttl_ms: float) -> str:
+        """Creates a session."""
+        request = {
+            "TTL": f"{int(ttl_ms)}ms",
+            "Behavior": "delete",
+            "LockDelay": "0s",
+        }
+        answer = await self.write(
+            "/v1/session/create", {}, json.dumps(request).encode()
+        )
+        if answer is None:
+            raise port.StoreUnavailable("no sessions", peer=self.address)
+        return str(self.parse(answer)["ID"])
+
+    async def keep_alive(self, lease: str) -> bool:
+        """Renews a session."""
+        answer = await self.write(f"/v1/session/renew/{lease}", {}, b"")
+        return answer is not None
+
+    async def acquire(self, key: str, value: bytes, *, lease: str) -> bool:
+        """Writes a key under a session."""
+        answer = await self.write(f"/v1/kv/{key}", {"acquire": lease}, value)
+        return answer is not None and self.parse(answer) is True
+
+    async def release(self, lease: str) -> None:
+        """Destroys a session."""
+        await self.write(f"/v1/session/destroy/{lease}", {}, b"")
--- /dev/null
+++ b/src/currantcart/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics, traces and the record of recent decisions."""
--- /dev/null
+++ b/src/currantcart/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Streams between nodes: messages, handshake, flow control."""
--- /dev/null
+++ b/src/currantcart/wire/messages.py
@@ -0,0 +1,316 @@
+"""Messages on a stream between two nodes, as msgpack arrays.
+
+The first element of each array is the kind; the rest are the fields of the
+message class in their order. docs/reference/wire.md lists them.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Any, ClassVar, TypeAlias
+
+import msgpack
+
+from currantcart import errors
+
+FRAME_BYTES_MAX = 2 * 1024 * 1024
+CHUNK_BYTES_MAX = 64 * 1024
+Headers: TypeAlias = list[list[str]]
+NUMBER = (int, float)
+
+
+@dataclasses.dataclass(slots=True)
+class Open:
+    """Starts a call.
+
+    Attributes:
+      call_number: Number of the call on this stream.
+      call_id: Unique id of the call.
+      root_id: Id of its root call.
+      service: Service called.
+      method: HTTP method.
+      path: Path and query for the target.
+      headers: Headers for the target, as pairs.
+      workspace: Workspace of the root call.
+      key_id: Key of the root call.
+      importance: Importance of the root call.
+      priority: Order under overload.
+      idempotent: Whether it may run more than once.
+      remaining_ms: Time left; a duration, since clocks differ.
+      allowance: Retries lent to the call and all below.
+      depth: 0 for a root call.
+      traceparent: W3C trace context; empty without a trace.
+      chunk: First bytes of the body.
+      last: Whether `chunk` is the whole body.
+    """
+
+    KIND: ClassVar[int] = 1
+    TYPES: ClassVar[tuple[Any, ...]] = (
+        int, str, str, str, str, str, list, str, str, int, int, bool, NUMBER,
+        int, int, str, bytes, bool,
+    )  # fmt: skip
+    call_number: int
+    call_id: str
+    root_id: str
+    service: str
+    method: str
+    path: str
+    headers: Headers
+    workspace: str
+    key_id: str
+    importance: int
+    priority: int
+    idempotent: bool
+    remaining_ms: float
+    allowance: int
+    depth: int
+    traceparent: str
+    chunk: bytes
+    last: bool
+
+
+@dataclasses.dataclass(slots=True)
+class Answer:
+    """Starts a target's answer.
+
+    Attributes:
+      call_number: Number of the call on this stream.
+      status: HTTP status.
+      headers: Headers, as pairs.
+      allowance: Retries that were not used.
+      shed_level: Highest level at which a call of the chain was shed.
+      load: Calls running and waiting at the target.
+      limit: Its limit on running calls.
+      chunk: First bytes of the body.
+      last: Whether `chunk` is the whole body.
+    """
+
+    KIND: ClassVar[int] = 2
+    TYPES: ClassVar[tuple[Any, ...]] = (
+        int, int, list, int, int, NUMBER, NUMBER, bytes, bool,
+    )  # fmt: skip
+    call_number: int
+    status: int
+    headers: Headers
+    allowance: int
+    shed_level: int
+    load: float
+    limit: float
+    chunk: bytes
+    last: bool
+
+
+@dataclasses.dataclass(slots=True)
+class Refuse:
+    """Ends a call without a target's answer.
+
+    Attributes:
+      call_number: Number of the call on this stream.
+      code: What went wrong, a value of `errors.Code`.
+      step: Where, a value of `errors.Step`.
+      peer: Instance that says so.
+      detail: One line for people.
+      not_run: Whether the call certainly did not run.
+      retry_after_ms: When coming back may help.
+      allowance: Retries that were not used.
+      shed_level: Highest level at which a call of the chain was shed.
+      load: Calls running and waiting at the target.
+      limit: Its limit on running calls.
+    """
+
+    KIND: ClassVar[int] = 3
+    TYPES: ClassVar[tuple[Any, ...]] = (
+        int, str, str, str, str, bool, NUMBER, int, int, NUMBER, NUMBER,
+    )  # fmt: skip
+    call_number: int
+    code: str
+    step: str
+    peer: str
+    detail: str
+    not_run: bool
+    retry_after_ms: float
+    allowance: int
+    shed_level: int
+    load: float
+    limit: float
+
+
+@dataclasses.dataclass(slots=True)
+class Data:
+    """A part of a body, in either direction."""
+
+    KIND: ClassVar[int] = 4
+    TYPES: ClassVar[tuple[Any, ...]] = (int, bytes, bool)
+    call_number: int
+    chunk: bytes
+    last: bool
+
+
+@dataclasses.dataclass(slots=True)
+class Window:
+    """Allows the other side to send more bytes of a call's body."""
+
+    KIND: ClassVar[int] = 5
+    TYPES: ClassVar[tuple[Any, ...]] = (int, int)
+    call_number: int
+    credit: int
+
+
+@dataclasses.dataclass(slots=True)
+class Reset:
+    """Ends a call at once, in either direction."""
+
+    KIND: ClassVar[int] = 6
+    TYPES: ClassVar[tuple[Any, ...]] = (int, str, str)
+    call_number: int
+    code: str
+    detail: str
+
+
+@dataclasses.dataclass(slots=True)
+class Hello:
+    """First message of each side.
+
+    Attributes:
+      version_min: Oldest wire version that the sender speaks.
+      version_max: Newest one.
+      instance: The sender.
+      nonce: Random bytes for the proof of the other side.
+    """
+
+    KIND: ClassVar[int] = 7
+    TYPES: ClassVar[tuple[Any, ...]] = (int, int, str, bytes)
+    version_min: int
+    version_max: int
+    instance: str
+    nonce: bytes
+
+
+@dataclasses.dataclass(slots=True)
+class Proof:
+    """Shows that the sender holds the fleet secret."""
+
+    KIND: ClassVar[int] = 8
+    TYPES: ClassVar[tuple[Any, ...]] = (bytes,)
+    mac: bytes
+
+
+@dataclasses.dataclass(slots=True)
+class Fetch:
+    """Asks for the configuration and the members known to the peer."""
+
+    KIND: ClassVar[int] = 9
+    TYPES: ClassVar[tuple[Any, ...]] = (int,)
+    revision: int
+
+
+@dataclasses.dataclass(slots=True)
+class State:
+    """Answers a `Fetch`.
+
+    Attributes:
+      revision: Configuration revision in force; 0 without one.
+      document: Its text; empty when the asker has it already.
+      members: Members as field lists.
+    """
+
+    KIND: ClassVar[int] = 10
+    TYPES: ClassVar[tuple[Any, ...]] = (int, bytes, list)
+    revision: int
+    document: bytes
+    members: list[Any]
+
+
+Message: TypeAlias = (
+    Open
+    | Answer
+    | Refuse
+    | Data
+    | Window
+    | Reset
+    | Hello
+    | Proof
+    | Fetch
+    | State
+)
+CLASSES: dict[int, type[Any]] = {
+    cls.KIND: cls
+    for cls in (
+        Open,
+        Answer,
+        Refuse,
+        Data,
+        Window,
+        Reset,
+        Hello,
+        Proof,
+        Fetch,
+        State,
+    )  # fmt: skip
+}
+FIELD_NAMES = {
+    kind: tuple(field.name for field in dataclasses.fields(cls))
+    for kind, cls in CLASSES.items()
+}
+PACKER = msgpack.Packer(use_bin_type=True)
+
+
+def encode(message: Message) -> bytes:
+    """Returns the bytes of a message."""
+    kind = message.KIND
+    values = [getattr(message, name) for name in FIELD_NAMES[kind]]
+    packed: bytes = PACKER.pack((kind, *values))
+    return packed
+
+
+def new_unpacker() -> msgpack.Unpacker:
+    """Returns a decoder for one stream, with all sizes bounded."""
+    return msgpack.Unpacker(
+        raw=False,
+        max_buffer_size=FRAME_BYTES_MAX,
+        max_array_len=65_536,
+        max_map_len=0,
+        max_ext_len=0,
+        strict_map_key=True,
+    )
+
+
+def is_headers(value: list[Any]) -> bool:
+    """Tells whether a list holds pairs of texts only."""
+    return all(
+        type(pair) is list
+        and len(pair) == 2
+        and type(pair[0]) is str
+        and type(pair[1]) is str
+        for pair in value
+    )
+
+
+def decode(frame: Any) -> Message:
+    """Builds a message from an unpacked frame.
+
+    Raises:
+      errors.StreamError: The frame is no valid message.
+    """
+    if type(frame) is not list or not frame or type(frame[0]) is not int:
+        raise invalid("it is no message")
+    cls = CLASSES.get(frame[0])
+    if cls is None:
+        raise invalid(f"kind {frame[0]} is unknown")
+    values = frame[1:]
+    if len(values) != len(cls.TYPES):
+        raise invalid(f"{cls.__name__} has {len(values)} fields")
+    for value, allowed in zip(values, cls.TYPES, strict=True):
+        if not isinstance(value, allowed):
+            raise invalid(f"{cls.__name__} has a {type(value).__name__}")
+    message: Message = cls(*values)
+    if isinstance(message, (Open, Answer)) and not is_headers(message.headers):
+        raise invalid(f"{cls.__name__} has malformed headers")
+    return message
+
+
+def invalid(detail: str) -> errors.StreamError:
+    """Returns the error for a frame that is refused."""
+    return errors.StreamError(
+        errors.Code.FRAME_INVALID, f"a frame does not decode: {detail}"
+    )
--- /dev/null
+++ b/src/currantcart/workspace/__init__.py
@@ -0,0 +1,1 @@
+"""Workspaces: their keys, rate and burst."""
