Let every node follow new configuration revisions

Cause: the rank of a watcher was hashed from a str, which xxhash refuses, so each node's watch task died after its first revision and nothing restarted it.

--- a/bench/load.py
+++ b/bench/load.py
@@ -8,11 +8,11 @@
 import random
 import time
 
-from currantcart import errors
-from currantcart.http1 import client, headers
 from multidict import CIMultiDict
 
 from bench.standins import target as target_standin
+from currantcart import errors
+from currantcart.http1 import client, headers
 
 
 @dataclasses.dataclass
--- a/bench/standins/target.py
+++ b/bench/standins/target.py
@@ -15,9 +15,10 @@
 import sys
 from typing import Any
 
+from multidict import CIMultiDict, CIMultiDictProxy
+
 from currantcart import errors
 from currantcart.http1 import client, headers, server
-from multidict import CIMultiDict
 
 HISTORY_MAX = 200_000
 REQUEST_ID = "X-Request-Id"
@@ -99,8 +100,9 @@
     async def run_call(self, exchange: server.Exchange, body: bytes) -> None:
         """Runs one call."""
         given = exchange.message.headers
+        request_id = given.get(REQUEST_ID, "")
         entry = {
-            "id": given.get(REQUEST_ID, ""),
+            "id": request_id,
             "operation": given.get(headers.IDEMPOTENCY_KEY, ""),
             "leaked": headers.AUTHORIZATION in given,
             "bytes": len(body),
@@ -119,13 +121,15 @@
                 status = 500
             for path in self.behaviour.calls:
                 if status == 200:
-                    status = await self.call_below(path, given, entry["id"])
+                    status = await self.call_below(path, given, request_id)
         entry["done"] = status == 200
-        answer = {"id": entry["id"], "service": self.behaviour.service}
+        answer = {"id": request_id, "service": self.behaviour.service}
         text = json.dumps(answer).encode().ljust(self.behaviour.answer_bytes)
         await respond(exchange, status, text)
 
-    async def call_below(self, path: str, given: Any, request_id: str) -> int:
+    async def call_below(
+        self, path: str, given: CIMultiDictProxy[str], request_id: str
+    ) -> int:
         """Calls a service below through the node."""
         status = 503
         for _ in range(self.behaviour.attempts):
@@ -134,7 +138,9 @@
                 return 200
         return 502 if status == 502 else 503
 
-    async def call_once(self, path: str, given: Any, request_id: str) -> int:
+    async def call_once(
+        self, path: str, given: CIMultiDictProxy[str], request_id: str
+    ) -> int:
         """Makes one attempt at a service below."""
         assert self.pool is not None
         fields: CIMultiDict[str] = CIMultiDict(
--- a/src/currantcart/admission/__init__.py
+++ b/src/currantcart/admission/__init__.py
@@ -1,1 +1,1 @@
-"""Admission at a target's node: queue, limit, shedding; throttle at the edge."""
+"""Admission at a target: queue, limit, shedding; throttle at the edge."""
--- a/src/currantcart/call/active.py
+++ b/src/currantcart/call/active.py
@@ -5,7 +5,6 @@
 import dataclasses
 from collections.abc import Callable
 
-from currantcart import errors
 from currantcart.call import allowance, token
 from currantcart.graph import model as graph_model
 
--- a/src/currantcart/http1/server.py
+++ b/src/currantcart/http1/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import contextlib
 import http
 from collections.abc import Awaitable, Callable
 
@@ -303,9 +304,7 @@
         self.registry.discard(self)
         if self.timer is not None:
             self.timer.cancel()
-        try:
+        with contextlib.suppress(Exception):
             self.parser.feed_eof()
-        except Exception:  # noqa: BLE001, S110 - the caller is gone
-            pass
         if self.task is not None:
             self.task.cancel()
--- a/src/currantcart/membership/messages.py
+++ b/src/currantcart/membership/messages.py
@@ -74,7 +74,7 @@
     )
 
 
-MEMBER_TYPES = (
+MEMBER_TYPES: tuple[Any, ...] = (
     str,
     int,
     int,
@@ -90,7 +90,7 @@
 )
 
 
-def read_member(fields: Any) -> model.Member:
+def read_member(fields: object) -> model.Member:
     """Builds a member from unpacked fields.
 
     Raises:
@@ -101,7 +101,9 @@
     for value, allowed in zip(fields, MEMBER_TYPES, strict=True):
         if not isinstance(value, allowed):
             raise ValueError(f"a member field is a {type(value).__name__}")
-    return model.Member(*fields[:3], model.Status(fields[3]), *fields[4:])
+    status = model.Status(fields[3])
+    values: list[Any] = [*fields[:3], status, *fields[4:]]
+    return model.Member(*values)
 
 
 def encode(key: bytes, datagram: Datagram) -> bytes:
--- a/src/currantcart/node/app.py
+++ b/src/currantcart/node/app.py
@@ -7,14 +7,14 @@
 import random
 import secrets
 import signal
+from collections.abc import Awaitable, Callable
 
 from aiohttp import web
 
 from currantcart import clock as clock_module
 from currantcart import errors
-from currantcart.membership import detector
+from currantcart.membership import detector, table
 from currantcart.membership import model as membership_model
-from currantcart.membership import table
 from currantcart.node import (
     admin,
     context,
@@ -35,6 +35,7 @@
 TARGET_FAILURES_MAX = 3
 DRAIN_NOTICE_SECONDS = 0.2
 LATE_CALLS_SECONDS = 1.5
+RESTART_SECONDS = 1.0
 
 
 class Node:
@@ -203,34 +204,41 @@
         await self.admin_runner.setup()
         host, port_number = settings_model.split_address(listen.admin)
         await web.TCPSite(self.admin_runner, host, port_number).start()
-        for background in (
-            self.gossip.run(),
-            self.distributor.join(),
-            self.distributor.watch(),
-            self.distributor.sync(),
-            self.watch_target(),
+        for work in (
+            self.gossip.run,
+            self.distributor.join,
+            self.distributor.watch,
+            self.distributor.sync,
+            self.watch_target,
         ):
-            self.keep(loop.create_task(background))
+            self.keep(work)
         if self.context.tracing.tracer is not None:
-            self.keep(loop.create_task(self.context.tracing.run()))
+            self.keep(self.context.tracing.run)
         self.context.logger.info(
             "node started",
             service=settings.target.service,
             **listen.model_dump(),
         )
 
-    def keep(self, task: asyncio.Task[None]) -> None:
-        """Keeps a background task, and logs it when it fails."""
+    def keep(self, work: Callable[[], Awaitable[None]]) -> None:
+        """Runs a background task for the life of the node."""
+        task = self.context.loop.create_task(self.supervise(work))
         self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
 
-        def ended(done: asyncio.Task[None]) -> None:
-            self.tasks.discard(done)
-            if not done.cancelled() and done.exception() is not None:
-                self.context.logger.error(
-                    "background task failed", exc_info=done.exception()
-                )
+    async def supervise(self, work: Callable[[], Awaitable[None]]) -> None:
+        """Runs work, and runs it again when it fails.
 
-        task.add_done_callback(ended)
+        A background task that dies silently leaves a node that serves with
+        an ever older view; a log line and another start bound that.
+        """
+        while True:
+            try:
+                await work()
+                return
+            except Exception:
+                self.context.logger.exception("background task failed")
+                await asyncio.sleep(RESTART_SECONDS)
 
     async def watch_target(self) -> None:
         """Announces the target while it takes connections."""
@@ -313,8 +321,10 @@
         """Waits for all calls, and for late ones of stale peers."""
         await asyncio.sleep(DRAIN_NOTICE_SECONDS)
         await self.guard.finish_running()
-        while any(caller.task for caller in self.ingress.connections):
-            await asyncio.sleep(TARGET_CHECK_SECONDS / 10)
+        tasks = {caller.task for caller in self.ingress.connections}
+        tasks.discard(None)
+        if tasks:
+            await asyncio.wait({task for task in tasks if task})
         # Peers that have not heard yet still send; they get a truthful
         # refusal that they re-route, where a closed port would be a failure.
         await asyncio.sleep(LATE_CALLS_SECONDS)
--- a/src/currantcart/node/distribute.py
+++ b/src/currantcart/node/distribute.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Any
 
 import xxhash
 
@@ -28,7 +27,7 @@
 
 def rank(instance: str) -> int:
     """Returns the place of an instance among its failure domain's watchers."""
-    return xxhash.xxh64_intdigest(instance)
+    return xxhash.xxh64_intdigest(instance.encode())
 
 
 def is_watcher(
@@ -128,7 +127,7 @@
         for fields in message.members:
             self.merge_member(fields, now)
 
-    def merge_member(self, fields: Any, now: float) -> None:
+    def merge_member(self, fields: object, now: float) -> None:
         """Takes one member of a peer's table."""
         try:
             member = membership_messages.read_member(fields)
--- a/src/currantcart/node/guard.py
+++ b/src/currantcart/node/guard.py
@@ -5,6 +5,8 @@
 import asyncio
 import dataclasses
 
+from multidict import CIMultiDict
+
 from currantcart import errors
 from currantcart.admission import controller, queue
 from currantcart.call import active, allowance
@@ -405,7 +407,7 @@
         await self.relay(answer)
         self.clean = self.pump is None or self.pump.done()
 
-    def request_headers(self, token: str) -> headers.CIMultiDict[str]:
+    def request_headers(self, token: str) -> CIMultiDict[str]:
         """Returns the headers for the target."""
         opening = self.incoming.opening
         fields = headers.to_multidict(opening.headers)
--- a/src/currantcart/settings/jsonc.py
+++ b/src/currantcart/settings/jsonc.py
@@ -8,6 +8,7 @@
 
 import json
 import pathlib
+from collections.abc import Iterable
 from typing import Any, TypeVar
 
 import json5
@@ -19,7 +20,7 @@
 FOUND_TEXT_MAX = 60
 
 
-def reject_duplicate_names(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+def reject_duplicate_names(pairs: Iterable[tuple[str, Any]]) -> dict[str, Any]:
     """Builds one JSON object, refusing a name that stands twice in it."""
     built: dict[str, Any] = {}
     for name, value in pairs:
--- a/src/currantcart/wire/messages.py
+++ b/src/currantcart/wire/messages.py
@@ -246,7 +246,7 @@
         Proof,
         Fetch,
         State,
-    )  # fmt: skip
+    )
 }
 FIELD_NAMES = {
     kind: tuple(field.name for field in dataclasses.fields(cls))
@@ -286,7 +286,7 @@
     )
 
 
-def decode(frame: Any) -> Message:
+def decode(frame: object) -> Message:
     """Builds a message from an unpacked frame.
 
     Raises:
