--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -3,33 +3,48 @@
 from __future__ import annotations
 
 import sys
+from collections.abc import Callable
+from typing import ClassVar
 
 from cleo import application
 from cleo.commands import command
 from cleo.helpers import option
+from cleo.io.inputs.option import Option
 
-from bench.experiments import demo
+from bench.experiments import demo, overhead
 
 
-class DemoCommand(command.Command):
-    """Runs the demonstration."""
+def experiment(
+    name: str, description: str, main: Callable[[], int]
+) -> command.Command:
+    """Returns the command that runs an experiment."""
 
-    name = "demo"
-    description = "Runs both deployments and prints a table."
+    class ExperimentCommand(command.Command):
+        """Runs one experiment."""
 
-    def handle(self) -> int:
-        return demo.main()
+        options: ClassVar[list[Option]] = [
+            option("json", None, "Kept for scripts: the line is JSON anyway.")
+        ]
+
+        def handle(self) -> int:
+            return main()
+
+    ExperimentCommand.name = name
+    ExperimentCommand.description = description
+    return ExperimentCommand()
 
 
 def main() -> int:
     """Runs one experiment."""
     built = application.Application("bench")
     built.auto_exits(False)
-    built.add(DemoCommand())
+    for name, description, run in (
+        ("demo", "Runs both deployments and prints a table.", demo.main),
+        ("overhead", "Measures the cost of a hop.", overhead.main),
+    ):
+        built.add(experiment(name, description, run))
     return built.run()
 
 
-JSON_OPTION = option("json", None, "Write one JSON line.")
-
 if __name__ == "__main__":
     sys.exit(main())
