Cut the collector's pauses, the token's signature and metric look-ups

Cause: a profile of two nodes at 700/s shows flat Python work; the full collector, HMAC for each token (3.8%) and label look-ups (4.7%) stand out. Change: freeze start-up objects and raise the thresholds, keyed BLAKE2 for the token, kept metric children; bench ports below the kernel's outgoing range.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -5,7 +5,9 @@
 import asyncio
 import contextlib
 import dataclasses
+import itertools
 import json
+import os
 import pathlib
 import signal
 import socket
@@ -24,18 +26,28 @@
 READY_SECONDS_MAX = 40.0
 STOP_SECONDS_MAX = 10.0
 HOST = "127.0.0.1"
+PORTS = range(12_000, 32_000)
+CANDIDATE_PORTS = itertools.cycle(
+    [*PORTS[os.getpid() * 37 % len(PORTS) :], *PORTS]
+)
 
 
 def free_ports(count: int) -> list[int]:
-    """Returns ports that are free now."""
-    sockets = []
-    for _ in range(count):
-        probe = socket.socket()
-        probe.bind((HOST, 0))
-        sockets.append(probe)
-    ports = [probe.getsockname()[1] for probe in sockets]
-    for probe in sockets:
-        probe.close()
+    """Returns ports that are free now.
+
+    They lie below the range from which the kernel takes ports for outgoing
+    connections: one of those would else hold a port that a process planned
+    here is about to listen on.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = next(CANDIDATE_PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        ports.append(port)
     return ports
 
 
--- a/src/currantcart/call/token.py
+++ b/src/currantcart/call/token.py
@@ -45,6 +45,15 @@
     return hmac.digest(fleet_secret, KEY_PURPOSE, hashlib.sha256)
 
 
+def mac_of(key: bytes, payload: bytes) -> bytes:
+    """Returns the signature of a payload.
+
+    Keyed BLAKE2 (RFC 7693) is a MAC by itself and costs a third of HMAC,
+    which sets up two hashes; each call signs one token.
+    """
+    return hashlib.blake2s(payload, key=key, digest_size=MAC_BYTES).digest()
+
+
 def sign(key: bytes, claims: Claims) -> str:
     """Returns the token for claims."""
     payload = msgpack.packb(
@@ -55,7 +64,7 @@
             claims.expires_ms,
         )
     )
-    mac = hmac.digest(key, payload, hashlib.sha256)[:MAC_BYTES]
+    mac = mac_of(key, payload)
     return base64.urlsafe_b64encode(mac + payload).decode("ascii")
 
 
@@ -84,8 +93,7 @@
     except (binascii.Error, ValueError):
         raise invalid("malformed") from None
     mac, payload = raw[:MAC_BYTES], raw[MAC_BYTES:]
-    expected = hmac.digest(key, payload, hashlib.sha256)[:MAC_BYTES]
-    if not hmac.compare_digest(mac, expected):
+    if not hmac.compare_digest(mac, mac_of(key, payload)):
         raise invalid("signature does not match")
     claims = Claims(*msgpack.unpackb(payload))
     if claims.instance != instance or claims.incarnation != incarnation:
--- a/src/currantcart/node/app.py
+++ b/src/currantcart/node/app.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import gc
 import random
 import secrets
 import signal
@@ -36,6 +37,7 @@
 DRAIN_NOTICE_SECONDS = 0.2
 LATE_CALLS_SECONDS = 1.5
 RESTART_SECONDS = 1.0
+GC_YOUNG, GC_MIDDLE, GC_OLD = 20_000, 20, 50
 
 
 class Node:
@@ -345,6 +347,18 @@
         await self.admin_runner.cleanup()
 
 
+def tune_collector() -> None:
+    """Makes the garbage collector's pauses rare.
+
+    Calls leave few cycles behind, but at the default thresholds the collector
+    walks all modules and models several times a second, and the calls of that
+    moment wait for it.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(GC_YOUNG, GC_MIDDLE, GC_OLD)
+
+
 def own_member(
     settings: settings_model.Settings, started: int
 ) -> membership_model.Member:
@@ -384,6 +398,7 @@
         loop.add_signal_handler(name, node.request_stop)
     try:
         await node.start()
+        tune_collector()
         await node.stopping.wait()
         cut = await node.drain()
     finally:
--- a/src/currantcart/node/ingress.py
+++ b/src/currantcart/node/ingress.py
@@ -124,11 +124,8 @@
         self, call: call_model.Call, started_ms: float, status: int
     ) -> None:
         """Counts an answered call."""
-        metrics = self.context.metrics
         seconds = (self.context.clock.now() - started_ms) / 1_000
-        metrics.latency.labels(call.service).observe(seconds)
-        outcome = f"{status // 100}xx"
-        metrics.calls.labels(call.service, outcome).inc()
+        self.context.metrics.answered(call.service, status, seconds)
 
     async def refuse(
         self,
--- a/src/currantcart/telemetry/metrics.py
+++ b/src/currantcart/telemetry/metrics.py
@@ -21,6 +21,8 @@
 
     def __init__(self) -> None:
         self.registry = prometheus_client.CollectorRegistry()
+        self.outcomes: dict[tuple[str, int], prometheus_client.Counter] = {}
+        self.latencies: dict[str, prometheus_client.Histogram] = {}
         self.calls = prometheus_client.Counter(
             "currantcart_calls",
             "Calls taken from callers and targets, by outcome",
@@ -59,6 +61,21 @@
             registry=self.registry,
         )
 
+    def answered(self, service: str, status: int, seconds: float) -> None:
+        """Counts one answered call.
+
+        The children are kept: looking them up by label takes the library
+        longer than counting does.
+        """
+        key = (service, status // 100)
+        outcome = self.outcomes.get(key)
+        if outcome is None:
+            outcome = self.calls.labels(service, f"{status // 100}xx")
+            self.outcomes[key] = outcome
+            self.latencies[service] = self.latency.labels(service)
+        outcome.inc()
+        self.latencies[service].observe(seconds)
+
     def gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
         """Adds a gauge that is read when it is scraped."""
         gauge = prometheus_client.Gauge(
