Prove seven promises on real nodes, each with its rule broken as well

Cause: the promises stood without proof. Change: a memory loop (time jumps, connections in memory), a few real nodes on it, checkers of recorded histories, and seven scenarios: late answers, a cut target, a failing deep service, a flood of browsing, the key on the way, a leaving target, an upload over a shutdown.

--- a/bench/experiments/overhead.py
+++ b/bench/experiments/overhead.py
@@ -11,11 +11,11 @@
 import statistics
 import time
 
-from currantcart.http1 import client, headers
 from multidict import CIMultiDict
 
 from bench import deployments, fleet, measure
 from bench.standins import target as target_standin
+from currantcart.http1 import client, headers
 
 RATE = 370.0
 ROUNDS = 12
--- a/bench/standins/target.py
+++ b/bench/standins/target.py
@@ -35,9 +35,9 @@
       slow: Factor on the time of its work.
       calls: Paths of services that it calls for each call.
       attempts: Attempts that it makes for each call of its own.
-      fail_ratio: Share of calls that it answers with 500.
+      fail_ratio: Share of calls that it fails.
+      fail_status: Status of those.
       answer_bytes: Size of its answers.
-      status: Status of a good answer.
       node: Address of its node for its own calls.
       keep_history: Whether it remembers what ran.
     """
@@ -49,6 +49,7 @@
     calls: list[str] = dataclasses.field(default_factory=list)
     attempts: int = 1
     fail_ratio: float = 0.0
+    fail_status: int = 500
     answer_bytes: int = 0
     node: str = ""
     keep_history: bool = True
@@ -106,6 +107,7 @@
             "operation": given.get(headers.IDEMPOTENCY_KEY, ""),
             "leaked": headers.AUTHORIZATION in given,
             "bytes": len(body),
+            "at": self.loop.time(),
             "done": False,
         }
         if self.behaviour.keep_history and len(self.history) < HISTORY_MAX:
@@ -118,7 +120,7 @@
                 )
             status = 200
             if self.rng.random() < self.behaviour.fail_ratio:
-                status = 500
+                status = self.behaviour.fail_status
             for path in self.behaviour.calls:
                 if status == 200:
                     status = await self.call_below(path, given, request_id)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, in the tree of the package."""
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,33 @@
+"""Fixtures that many tests share."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+
+import hypothesis
+import pytest
+
+from tests.fakes import loop as fake_loop
+from tests.fakes import world as fake_world
+
+hypothesis.settings.register_profile(
+    "ci", derandomize=True, deadline=None, max_examples=60, database=None
+)
+hypothesis.settings.load_profile("ci")
+
+
+def pytest_asyncio_loop_factories(
+    config: pytest.Config, item: pytest.Item
+) -> dict[str, Callable[[], asyncio.AbstractEventLoop]]:
+    """Runs each test on a memory loop."""
+    del config, item
+    return {"memory": fake_loop.MemoryLoop}
+
+
+@pytest.fixture
+async def world() -> AsyncIterator[fake_world.World]:
+    loop = asyncio.get_running_loop()
+    assert isinstance(loop, fake_loop.MemoryLoop)
+    async for opened in fake_world.open_world(loop):
+        yield opened
--- /dev/null
+++ b/tests/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes at the interfaces: time, network and store."""
--- /dev/null
+++ b/tests/http1/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the http1 package."""
--- /dev/null
+++ b/tests/proof/__init__.py
@@ -0,0 +1,1 @@
+"""The promises, proved by checking recorded histories."""
--- /dev/null
+++ b/tests/proof/histories.py
@@ -0,0 +1,38 @@
+"""Turning what a world recorded into what the checkers read."""
+
+from __future__ import annotations
+
+from bench import checkers
+from tests.fakes.world import Reply, World
+
+
+def asked(
+    service: str, replies: list[Reply], *, important: bool = False
+) -> list[checkers.Asked]:
+    """Returns replies as the checkers read them."""
+    return [
+        checkers.Asked(
+            request_id=reply.request_id,
+            service=service,
+            status=reply.status,
+            answered_id=str(reply.fields.get("id", "")),
+            not_run=bool(reply.fields.get("not_run", False)),
+            important=important,
+        )
+        for reply in replies
+    ]
+
+
+def ran(world: World, *services: str) -> list[checkers.Ran]:
+    """Returns what ran at services."""
+    return [
+        checkers.Ran(
+            request_id=entry["id"],
+            service=service,
+            operation=entry["operation"],
+            leaked=entry["leaked"],
+            at=entry["at"],
+        )
+        for service in services
+        for entry in world.history(service)
+    ]
