Test the decisions and the borders; let suspects answer for themselves

Change: a seed's ping names its sender; tables of strangers are compared over a stream, where "dead" counts as a suspicion only; suspects are pinged directly and told.

--- a/src/currantcart/membership/detector.py
+++ b/src/currantcart/membership/detector.py
@@ -15,6 +15,7 @@
 SUSPECT_MS = 2_000.0
 HELPERS = 2
 RUMOUR_PEERS = 4
+SUSPECTS_ASKED = 4
 NEWS_PER_DATAGRAM = 6
 SEED_PERIOD_MS = 2_000.0
 
@@ -54,6 +55,7 @@
       revision: Configuration revision that datagrams carry.
       store_age_ms: Age of the store's word that datagrams carry.
       heard_ms: When a peer was last heard.
+      strangers: Datagrams of senders whose tables have to be compared.
     """
 
     def __init__(
@@ -76,6 +78,7 @@
         self.next_probe_ms = now
         self.next_seed_ms = now
         self.order: list[str] = []
+        self.strangers: list[messages.Datagram] = []
 
     def build(
         self, kind: messages.Kind, *, sequence: int, subject: str = ""
@@ -111,6 +114,7 @@
         if now >= self.next_probe_ms:
             self.next_probe_ms = now + PERIOD_MS
             sending += self.start_probe(now)
+            sending += self.ping_suspects()
             self.table.forget_dead(now)
             self.relays = {
                 sequence: relay
@@ -133,7 +137,28 @@
         if not unknown:
             return []
         seed = self.rng.choice(unknown)
-        return [self.ping(seed, sequence=self.next_sequence())]
+        ping = self.ping(seed, sequence=self.next_sequence())
+        news = (*ping.datagram.news, self.table.own)
+        return [Outgoing(seed, dataclasses.replace(ping.datagram, news=news))]
+
+    def ping_suspects(self) -> list[Outgoing]:
+        """Asks a few suspects directly, telling them of the suspicion.
+
+        Lost datagrams make suspects of the living. Left to gossip alone, the
+        suspicion may reach its subject too late for an answer in time.
+        """
+        suspects = self.table.others(model.Status.SUSPECT)
+        chosen = self.rng.sample(suspects, min(SUSPECTS_ASKED, len(suspects)))
+        sending = []
+        for member in chosen:
+            ping = self.ping(member.peers, sequence=self.next_sequence())
+            news = (*ping.datagram.news, member)
+            sending.append(
+                Outgoing(
+                    ping.address, dataclasses.replace(ping.datagram, news=news)
+                )
+            )
+        return sending
 
     def next_member(self) -> model.Member | None:
         """Returns the next member of a shuffled round."""
@@ -202,6 +227,8 @@
         """Takes a datagram and returns the answers."""
         self.heard_ms = now
         sending: list[Outgoing] = []
+        if self.is_stranger(datagram.sender):
+            self.strangers.append(datagram)
         for news in datagram.news:
             self.table.merge(news, now)
         if datagram.kind is messages.Kind.PING:
@@ -216,6 +243,20 @@
             sending += self.acknowledged(datagram)
         return sending
 
+    def is_stranger(self, instance: str) -> bool:
+        """Tells whether a sender was forgotten here, or believed gone.
+
+        Its side of a healed partition is unknown here as a whole, and news
+        is spread only a few times; so the tables have to be compared.
+        """
+        entry = self.table.entries.get(instance)
+        return entry is None or entry.member.status is model.Status.DEAD
+
+    def take_strangers(self) -> list[messages.Datagram]:
+        """Returns the datagrams of strangers since the last time."""
+        strangers, self.strangers = self.strangers, []
+        return strangers
+
     def answer(self, ping: messages.Datagram) -> Outgoing:
         """Returns the ack of a ping; it tells a forgotten sender of itself."""
         ack = self.build(messages.Kind.ACK, sequence=ping.sequence)
--- a/src/currantcart/membership/table.py
+++ b/src/currantcart/membership/table.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import math
+from collections.abc import Iterable
 
 from currantcart.membership import model
 
@@ -77,6 +78,22 @@
         self.put(news, now)
         return True
 
+    def merge_table(self, members: Iterable[model.Member], now: float) -> None:
+        """Takes a peer's whole table.
+
+        A peer from the other side of a healed partition believes this whole
+        side dead. Taken at its word, a healing would make every instance
+        disappear until it refutes; as a suspicion it only asks for that.
+        """
+        for member in members:
+            status = min(member.status, model.Status.SUSPECT)
+            if member.status is model.Status.LEAVING:
+                status = member.status
+            entry = self.entries.get(member.instance)
+            if member.status is model.Status.DEAD and entry is None:
+                continue
+            self.merge(dataclasses.replace(member, status=status), now)
+
     def merge_own(self, news: model.Member, now: float) -> bool:
         """Answers news about this node itself.
 
--- a/src/currantcart/node/app.py
+++ b/src/currantcart/node/app.py
@@ -86,7 +86,7 @@
                 members=self.members, seeds=settings.seeds, rng=rng, now=now
             ),
             on_news=self.members_changed,
-            on_revision=self.distributor.fetch_from,
+            on_lack=self.distributor.fetch_from,
         )
         self.tasks: set[asyncio.Task[None]] = set()
         self.servers: list[asyncio.Server] = []
--- a/src/currantcart/node/distribute.py
+++ b/src/currantcart/node/distribute.py
@@ -94,7 +94,7 @@
             self.on_change()
 
     def fetch_from(self, instance: str, address: str) -> None:
-        """Asks a peer that has a newer revision, one at a time."""
+        """Asks a peer that knows more, one at a time."""
         if self.fetching is None or self.fetching.done():
             self.fetching = self.context.loop.create_task(
                 self.fetch(instance, address)
@@ -123,17 +123,14 @@
             return
         if message.document:
             self.offer(message.document, stream.peer)
-        now = self.context.clock.now()
-        for fields in message.members:
-            self.merge_member(fields, now)
-
-    def merge_member(self, fields: object, now: float) -> None:
-        """Takes one member of a peer's table."""
         try:
-            member = membership_messages.read_member(fields)
+            members = [
+                membership_messages.read_member(fields)
+                for fields in message.members
+            ]
         except ValueError as error:
             raise messages.invalid(str(error)) from error
-        self.members.merge(member, now)
+        self.members.merge_table(members, self.context.clock.now())
 
     def state(self, revision: int) -> messages.State:
         """Returns what a peer that has a revision lacks."""
--- a/src/currantcart/node/gossip.py
+++ b/src/currantcart/node/gossip.py
@@ -20,7 +20,7 @@
     Attributes:
       detector: Decides what is sent.
       on_news: Called when the member table changed.
-      on_revision: Called with a sender and its newer revision.
+      on_lack: Called with a sender that knows what this node lacks.
       bytes_sent: For the cost of control.
     """
 
@@ -30,12 +30,12 @@
         *,
         failure_detector: detector.Detector,
         on_news: Callable[[], None],
-        on_revision: Callable[[str, str], None],
+        on_lack: Callable[[str, str], None],
     ) -> None:
         self.context = context
         self.detector = failure_detector
         self.on_news = on_news
-        self.on_revision = on_revision
+        self.on_lack = on_lack
         self.key = messages.derive_key(context.settings.secret())
         self.transport: asyncio.DatagramTransport | None = None
         self.table_version = -1
@@ -57,7 +57,9 @@
         self.send(self.detector.receive(datagram, now))
         self.check_news()
         if datagram.revision > self.context.config.revision:
-            self.on_revision(datagram.sender, datagram.sender_address)
+            self.on_lack(datagram.sender, datagram.sender_address)
+        for stranger in self.detector.take_strangers():
+            self.on_lack(stranger.sender, stranger.sender_address)
 
     def send(self, outgoing: list[detector.Outgoing]) -> None:
         """Sends datagrams."""
--- a/tests/fakes/loop.py
+++ b/tests/fakes/loop.py
@@ -183,7 +183,7 @@
         )
 
 
-class MemoryServer(asyncio.AbstractServer):
+class MemoryServer:
     """A listening port in memory."""
 
     sockets: tuple[()] = ()
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -163,7 +163,7 @@
         )
         context = contextvars.copy_context()
         context.run(fake_loop.OWNER.set, name)
-        place = await self.run_as(
+        place: Place = await self.run_as(
             context, self.build(settings, behaviour, context)
         )
         self.places[name] = place
--- /dev/null
+++ b/tests/membership/test_detector.py
@@ -0,0 +1,192 @@
+"""Gossip among pure detectors, with datagrams that get lost."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from currantcart import errors
+from currantcart.membership import detector, messages, model, table
+
+TICK_MS = 100.0
+
+
+def own(number: int) -> model.Member:
+    return model.Member(
+        instance=f"n{number}", incarnation=1, started=1,
+        status=model.Status.ALIVE, peers=f"a{number}", admin="",
+        failure_domain="d", region="r", service="s", slots=1, ramp_ms=0.0,
+        revision=0,
+    )  # fmt: skip
+
+
+class Net:
+    """Detectors that hand each other datagrams."""
+
+    def __init__(self, count: int, *, loss: float = 0.0, seed: int = 1) -> None:
+        self.now = 0.0
+        self.loss = loss
+        self.rng = random.Random(seed)
+        self.down: set[str] = set()
+        self.apart: set[str] = set()
+        self.most_bytes = 0
+        self.nodes = {
+            f"a{n}": detector.Detector(
+                members=table.MemberTable(own=own(n), now=0.0),
+                seeds=["a0", "a1"],
+                rng=random.Random(seed * 1_000 + n),
+                now=0.0,
+            )
+            for n in range(count)
+        }
+
+    def reaches(self, one: str, other: str) -> bool:
+        return (
+            other in self.nodes
+            and not {one, other} & self.down
+            and (one in self.apart) == (other in self.apart)
+            and self.rng.random() >= self.loss
+        )
+
+    def send(self, sender: str, outgoing: list[detector.Outgoing]) -> None:
+        for item in outgoing:
+            size = len(messages.encode(b"k" * 32, item.datagram))
+            self.most_bytes = max(self.most_bytes, size)
+            if self.reaches(sender, item.address):
+                peer = self.nodes[item.address]
+                self.send(item.address, peer.receive(item.datagram, self.now))
+                for stranger in peer.take_strangers():
+                    self.compare(item.address, stranger.sender_address)
+
+    def compare(self, one: str, other: str) -> None:
+        """Compares two tables, as nodes do over a stream."""
+        here, there = self.nodes[one].table, self.nodes[other].table
+        here.merge_table(there.members(), self.now)
+        there.merge_table(here.members(), self.now)
+
+    def run(self, seconds: float) -> None:
+        end = self.now + seconds * 1_000
+        while self.now < end:
+            self.now += TICK_MS
+            for address, node in self.nodes.items():
+                if address not in self.down:
+                    self.send(address, node.tick(self.now))
+
+    def status(self, seen_by: int, of: int) -> model.Status | None:
+        entry = self.nodes[f"a{seen_by}"].table.entries.get(f"n{of}")
+        return entry.member.status if entry else None
+
+    def all_alive(self) -> bool:
+        return all(
+            self.status(a, b) is model.Status.ALIVE
+            for a in range(len(self.nodes))
+            for b in range(len(self.nodes))
+        )
+
+
+def test_all_learn_of_all() -> None:
+    net = Net(12)
+    net.run(12)
+    assert net.all_alive()
+    assert net.most_bytes <= messages.DATAGRAM_BYTES_MAX
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_lost_datagrams_bury_no_one(seed: int) -> None:
+    """One datagram of five is lost, for a minute.
+
+    Suspicions come and go; an instance that is called dead would stand idle.
+    """
+    net = Net(12, loss=0.2, seed=seed + 1)
+    net.run(20)
+    buried = set()
+    for _ in range(40):
+        net.run(1)
+        buried |= {
+            (a, b)
+            for a in range(12)
+            for b in range(12)
+            if net.status(a, b) in (None, model.Status.DEAD)
+        }
+    assert buried == set()
+
+
+def test_dead_instance_is_known_to_all_within_seconds() -> None:
+    """An instance is replaced without a word.
+
+    Until all know it, calls that go to it end as failures.
+    """
+    net = Net(12)
+    net.run(10)
+    net.down.add("a5")
+    net.run(8)
+    seen = {net.status(n, 5) for n in range(12) if n != 5}
+    assert seen == {model.Status.DEAD}
+
+
+def test_leaving_instance_is_known_at_once() -> None:
+    net = Net(12)
+    net.run(10)
+    leaving = net.nodes["a5"]
+    leaving.table.announce(
+        dataclasses.replace(leaving.table.own, status=model.Status.LEAVING),
+        net.now,
+    )
+    net.send("a5", leaving.farewell())
+    seen = {net.status(n, 5) for n in range(12) if n != 5}
+    assert seen == {model.Status.LEAVING}
+
+
+def test_paused_instance_comes_back_under_a_new_incarnation() -> None:
+    """An instance is frozen for ten seconds and thaws.
+
+    It was called dead; if it could not refute that, its target would stand
+    idle until someone restarts it.
+    """
+    net = Net(8)
+    net.run(10)
+    net.down.add("a3")
+    net.run(10)
+    net.down.clear()
+    net.run(15)
+    assert net.all_alive()
+    assert net.nodes["a3"].table.own.incarnation > 1
+
+
+def test_two_halves_find_each_other_again() -> None:
+    """Two regions lose each other for minutes and have buried each other."""
+    net = Net(10)
+    net.run(10)
+    net.apart = {f"a{n}" for n in range(1, 6)}
+    net.run(180)
+    assert net.status(0, 1) in (model.Status.DEAD, None)
+    net.apart = set()
+    net.run(40)
+    assert net.all_alive()
+
+
+def test_older_news_never_wins() -> None:
+    members = table.MemberTable(own=own(0), now=0.0)
+    members.merge(dataclasses.replace(own(1), incarnation=5), 0.0)
+    stale = dataclasses.replace(own(1), incarnation=4, status=model.Status.DEAD)
+    assert not members.merge(stale, 0.0)
+    assert members.entries["n1"].member.status is model.Status.ALIVE
+
+
+@given(st.binary(max_size=300))
+def test_any_datagram_decodes_or_gives_a_coded_error(data: bytes) -> None:
+    with pytest.raises(errors.StreamError):
+        messages.decode(b"k" * 32, data)
+
+
+def test_datagram_survives_the_wire_and_no_other_secret() -> None:
+    node = Net(1).nodes["a0"]
+    datagram = node.build(messages.Kind.PING, sequence=3)
+    data = messages.encode(b"k" * 32, datagram)
+    assert messages.decode(b"k" * 32, data) == datagram
+    with pytest.raises(errors.StreamError):
+        messages.decode(b"o" * 32, data)
--- a/tests/proof/test_promises.py
+++ b/tests/proof/test_promises.py
@@ -15,8 +15,9 @@
 
 from bench import checkers
 from currantcart.call import allowance
+from currantcart.graph import model as graph_model
 from currantcart.http1 import client, headers
-from currantcart.node import app, gossip, guard, intake
+from currantcart.node import app, gossip, guard
 from tests.fakes.world import World
 from tests.proof import histories
 
@@ -146,7 +147,7 @@
 
 def ignore_importance(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(
-        intake.graph_model,
+        graph_model,
         "priority",
         lambda importance, workspace_importance, depth: 0,
     )
--- /dev/null
+++ b/tests/routing/test_router.py
@@ -0,0 +1,162 @@
+"""Choice of a target."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import random
+
+import pytest
+
+from currantcart import errors
+from currantcart.membership import model
+from currantcart.routing import ejection, router, score
+
+
+def member(number: int, **more: str | int | float) -> model.Member:
+    base = model.Member(
+        instance=f"grades-{number}",
+        incarnation=1,
+        started=1,
+        status=model.Status.ALIVE,
+        peers="",
+        admin="",
+        failure_domain=f"domain-{number % 3}",
+        region="dar",
+        service="grades",
+        slots=10,
+        ramp_ms=0.0,
+        revision=0,
+    )
+    return dataclasses.replace(base, **more)  # type: ignore[arg-type]
+
+
+@pytest.fixture
+def routing() -> router.Router:
+    built = router.Router(
+        place=router.Place("domain-0", "dar"), rng=random.Random(1)
+    )
+    built.update([member(n) for n in range(6)], 0.0)
+    return built
+
+
+def spread(
+    routing: router.Router, calls: int, *, hold: bool = True
+) -> collections.Counter[str]:
+    """Sends calls and counts where they go."""
+    counts: collections.Counter[str] = collections.Counter()
+    for _ in range(calls):
+        chosen = routing.pick("grades", priority=0, exclude=(), now=0.0)
+        chosen.in_flight += hold
+        counts[chosen.member.failure_domain] += 1
+    return counts
+
+
+def test_near_targets_come_first_and_overflow_goes_on(
+    routing: router.Router,
+) -> None:
+    assert set(spread(routing, 8)) == {"domain-0"}
+    far = spread(routing, 30)
+    assert far["domain-1"] + far["domain-2"] > far["domain-0"]
+
+
+def test_nothing_goes_to_the_excluded_leaving_or_down(
+    routing: router.Router,
+) -> None:
+    routing.update(
+        [
+            member(0, status=model.Status.LEAVING),
+            member(1, status=model.Status.DEAD),
+            member(2, slots=0),
+            member(3),
+        ],
+        0.0,
+    )
+    with pytest.raises(errors.Refusal) as caught:
+        routing.pick("grades", priority=0, exclude={"grades-3"}, now=0.0)
+    assert caught.value.code is errors.Code.NO_TARGET
+    assert caught.value.not_run
+
+
+def test_suspect_is_used_when_it_is_the_only_one(
+    routing: router.Router,
+) -> None:
+    routing.update([member(0, status=model.Status.SUSPECT)], 0.0)
+    assert spread(routing, 1)
+
+
+def test_target_that_sheds_this_priority_is_avoided(
+    routing: router.Router,
+) -> None:
+    for number in (0, 3):
+        routing.report(
+            routing.candidates[f"grades-{number}"],
+            load=1, limit=10, shed_level=5, now=0.0,
+        )  # fmt: skip
+    assert "domain-0" not in spread(routing, 5, hold=False)
+    chosen = routing.pick("grades", priority=6, exclude=(), now=0.0)
+    assert chosen.member.failure_domain == "domain-0"
+
+
+def test_started_target_gets_its_share_slowly() -> None:
+    """A cold target that got its full share at once would time out."""
+    shares = [score.ramp_share(t, ramp_ms=1_000) for t in (0, 500, 1_000)]
+    assert shares == [0.1, 0.5, 1.0]
+
+
+def fail(health: ejection.TargetHealth, times: int, now: float) -> None:
+    for _ in range(times):
+        health.started()
+        health.failed(now)
+
+
+def test_failing_target_leaves_and_comes_back_by_probes() -> None:
+    """A target answers each call at once with an error.
+
+    It looks idle, so without ejection it would draw ever more calls.
+    """
+    health = ejection.TargetHealth()
+    fail(health, ejection.FAILURES_IN_ROW, 0.0)
+    assert not health.usable(500.0)
+    assert health.usable(1_000.0)
+    health.started()
+    assert not health.usable(1_000.0)
+    for _ in range(ejection.PROBE_SUCCESSES):
+        health.started()
+        health.succeeded()
+    assert health.state == ejection.HEALTHY
+
+
+def test_failed_probe_waits_twice_as_long() -> None:
+    health = ejection.TargetHealth()
+    fail(health, ejection.FAILURES_IN_ROW, 0.0)
+    assert health.usable(1_000.0)
+    fail(health, 1, 1_000.0)
+    assert not health.usable(2_900.0)
+    assert health.usable(3_000.0)
+
+
+def test_target_that_fails_half_the_time_leaves_too() -> None:
+    health = ejection.TargetHealth()
+    for number in range(60):
+        if health.state == ejection.HEALTHY:
+            if number % 3:
+                health.failed(0.0)
+            else:
+                health.succeeded()
+    assert health.state == ejection.EJECTED
+
+
+def test_never_all_are_ejected(routing: router.Router) -> None:
+    """All targets fail since a service below them is down."""
+    for candidate in routing.candidates.values():
+        fail(candidate.health, ejection.FAILURES_IN_ROW, 0.0)
+    assert sum(spread(routing, 12).values()) == 12
+
+
+def test_what_is_known_outlasts_an_update(routing: router.Router) -> None:
+    candidate = routing.candidates["grades-0"]
+    routing.update([member(0, incarnation=2)], 0.0)
+    assert routing.candidates["grades-0"] is candidate
+    routing.update([member(0, incarnation=3, started=9)], 0.0)
+    assert routing.candidates["grades-0"] is not candidate
--- /dev/null
+++ b/tests/wire/test_connection.py
@@ -0,0 +1,96 @@
+"""A stream whose peer misbehaves ends, and nothing else does."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgpack
+import pytest
+
+from currantcart.settings import model as settings_model
+from currantcart.wire import handshake, messages
+from tests.fakes.world import SECRET, World
+
+CALL = messages.Open(
+    1, "c", "c", "grades", "GET", "/a", [], "mill", "k1", 0, 0, True, 1_000.0,
+    0, 0, "", b"", True,
+)  # fmt: skip
+
+
+async def dial(
+    world: World, *, secret: str = SECRET
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Opens a stream by hand, handshake included."""
+    address = world.places["grades-1"].settings.listen.peers
+    reader, writer = await asyncio.open_connection(
+        *settings_model.split_address(address)
+    )
+    shake = handshake.Handshake(
+        role=handshake.Role.DIALER,
+        instance="stranger",
+        fleet_secret=secret.encode(),
+    )
+    writer.write(messages.encode(shake.hello()))
+    hello = messages.decode(msgpack.unpackb(await reader.read(4_096)))
+    proof = shake.receive(hello)
+    assert proof is not None
+    writer.write(messages.encode(proof))
+    return reader, writer
+
+
+async def rest(reader: asyncio.StreamReader) -> bytes:
+    """Reads until the stream ends."""
+    async with asyncio.timeout(10):
+        return await reader.read()
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        b"\xc1",
+        msgpack.packb({"kind": 1}),
+        msgpack.packb((99, 1)),
+        msgpack.packb((1, 2, 3)),
+        messages.encode(messages.Hello(1, 1, "again", b"n" * 16)),
+        messages.encode(CALL) + messages.encode(CALL),
+        messages.encode(CALL)
+        + b"".join(
+            messages.encode(messages.Data(1, b"x" * 60_000, False))
+            for _ in range(10)
+        ),
+        b"\xdd\xff\xff\xff\xff",
+    ],
+    ids=[
+        "undefined byte", "map", "unknown kind", "too few fields",
+        "second handshake", "call number twice", "over the window",
+        "endless array",
+    ],
+)  # fmt: skip
+async def test_bad_frame_ends_that_stream_only(
+    world: World, bad: bytes
+) -> None:
+    await world.start("grades-1", "grades")
+    await world.start("permits-1", "permits")
+    await world.settle()
+    reader, writer = await dial(world)
+    writer.write(bad)
+    await rest(reader)
+    assert (await world.call("permits-1", "/grades/a")).whole
+
+
+async def test_stranger_without_the_secret_gets_nothing(world: World) -> None:
+    await world.start("grades-1", "grades")
+    await world.settle()
+    reader, writer = await dial(world, secret="another secret, long enough")
+    writer.write(messages.encode(messages.Fetch(0)))
+    assert await rest(reader) == b""
+    assert world.history("grades") == []
+
+
+async def test_silent_stranger_is_dropped(world: World) -> None:
+    await world.start("grades-1", "grades")
+    address = world.places["grades-1"].settings.listen.peers
+    reader, _ = await asyncio.open_connection(
+        *settings_model.split_address(address)
+    )
+    await rest(reader)
