Start calls at once instead of in the loop's next turn

Cause: each call began its task in the next turn of the loop at each hop, one more select each. Change: run a call's first part at once, and hand it to a task where it first waits; a time limit that needs no task; a connection that fails at once does not nest.

--- a/src/currantcart/http1/client.py
+++ b/src/currantcart/http1/client.py
@@ -142,7 +142,8 @@
                 raise self.unreachable("all its connections are in use")
             self.leased += 1
             try:
-                return await self.connect()
+                # A task of its own: the time limit inside needs one.
+                return await self.loop.create_task(self.connect())
             except BaseException:
                 self.leased -= 1
                 raise
--- a/src/currantcart/http1/server.py
+++ b/src/currantcart/http1/server.py
@@ -13,7 +13,7 @@
 from aiohttp import http as aiohttp_http
 from multidict import CIMultiDict
 
-from currantcart import errors
+from currantcart import eager, errors
 
 LINE_BYTES_MAX = 8_190
 HEADERS_MAX = 100
@@ -117,6 +117,11 @@
         await self.start(status, headers, whole=body)
         await self.finish(b"" if self.message.method == "HEAD" else body)
 
+    def cancel(self) -> None:
+        """Ends the work on this exchange."""
+        if self.connection.task is not None:
+            self.connection.task.cancel()
+
     def abort(self) -> None:
         """Cuts the connection, so that no one takes a part for a whole."""
         self.keep_alive = False
@@ -238,7 +243,7 @@
         self.head_pending = False
         message, body = self.waiting.popleft()
         exchange = Exchange(self, message, body)
-        self.task = self.loop.create_task(self.run(exchange))
+        self.task = eager.start(self.loop, self.run(exchange))
 
     async def run(self, exchange: Exchange) -> None:
         """Answers one exchange and goes on to the next."""
--- a/src/currantcart/node/forward.py
+++ b/src/currantcart/node/forward.py
@@ -8,7 +8,7 @@
 
 from multidict import CIMultiDict
 
-from currantcart import errors
+from currantcart import eager, errors
 from currantcart.admission import throttle
 from currantcart.call import model as call_model
 from currantcart.call import retry
@@ -92,7 +92,11 @@
         """
         remaining_ms = call.deadline_ms - self.context.clock.now()
         try:
-            async with asyncio.timeout(max(0.0, remaining_ms / 1_000)):
+            with eager.Expiry(
+                self.context.loop,
+                seconds=remaining_ms / 1_000,
+                cancel=exchange.cancel,
+            ):
                 return await Forwarding(self, call, exchange).run()
         except TimeoutError:
             if exchange.started:
--- a/src/currantcart/node/guard.py
+++ b/src/currantcart/node/guard.py
@@ -7,7 +7,7 @@
 
 from multidict import CIMultiDict
 
-from currantcart import errors
+from currantcart import eager, errors
 from currantcart.admission import controller, queue
 from currantcart.call import active, allowance
 from currantcart.graph import model as graph_model
@@ -32,6 +32,7 @@
       waiting: Its place in the queue.
       call: Its entry as a parent of the target's own calls.
       hop: Its span, if it is traced.
+      task: Its work at the target, from its first wait on.
     """
 
     opening: messages.Open
@@ -39,6 +40,12 @@
     waiting: queue.Waiting
     call: active.ActiveCall
     hop: trace.Hop | None = None
+    task: asyncio.Task[None] | None = None
+
+    def cancel(self) -> None:
+        """Ends the work at the target."""
+        if self.task is not None:
+            self.task.cancel()
 
 
 def refusal(
@@ -261,8 +268,22 @@
 
     def start(self, incoming: Incoming) -> None:
         """Runs an admitted call."""
-        task = self.context.loop.create_task(self.run(incoming))
-        incoming.stream.on_reset = task.cancel
+        task = eager.start(self.context.loop, self.run(incoming))
+        if task is not None:
+            self.watch(incoming, task)
+
+    def start_later(self, incoming: Incoming) -> None:
+        """Runs an admitted call from the loop's next turn on.
+
+        A call that fails at once frees its slot for the next one; starting
+        that one inside would nest as deep as the queue is long.
+        """
+        self.watch(incoming, self.context.loop.create_task(self.run(incoming)))
+
+    def watch(self, incoming: Incoming, task: asyncio.Task[None]) -> None:
+        """Keeps the task of a running call."""
+        incoming.task = task
+        incoming.stream.on_reset = incoming.cancel
         self.running.add(task)
         task.add_done_callback(self.running.discard)
 
@@ -281,7 +302,7 @@
             incoming = self.queued.pop(id(waiting))
             fault = self.check_key(incoming.opening)
             if fault is None:
-                self.start(incoming)
+                self.start_later(incoming)
             else:
                 self.refuse(incoming, fault)
                 self.release(latency_ms=None)
@@ -293,7 +314,11 @@
         self.note(record.Event.RUNNING, incoming)
         try:
             remaining_ms = incoming.call.deadline_ms - self.context.clock.now()
-            async with asyncio.timeout(max(0.0, remaining_ms / 1_000)):
+            with eager.Expiry(
+                self.context.loop,
+                seconds=remaining_ms / 1_000,
+                cancel=incoming.cancel,
+            ):
                 await dispatch.run(token)
         except TimeoutError:
             dispatch.fail(errors.Code.DEADLINE_EXCEEDED, "the deadline passed")
--- a/src/currantcart/node/ingress.py
+++ b/src/currantcart/node/ingress.py
@@ -98,10 +98,8 @@
     ) -> None:
         """Brings a call to a target and its answer back to the caller."""
         started_ms = self.context.clock.now()
-        task = asyncio.current_task()
-        assert task is not None
         if call.parent is not None:
-            call.parent.cancels.add(task.cancel)
+            call.parent.cancels.add(exchange.cancel)
         hop = self.context.tracing.begin("call", call.traceparent)
         if hop is not None:
             call.traceparent = hop.traceparent
@@ -110,7 +108,7 @@
             status = await self.forwarder.forward(call, exchange)
         finally:
             if call.parent is not None:
-                call.parent.cancels.discard(task.cancel)
+                call.parent.cancels.discard(exchange.cancel)
             if hop is not None:
                 hop.end(
                     service=call.service,
