--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.stamp
 
-.PHONY: demo test lint types check binary lock clean
+.PHONY: demo test prove lint types check binary lock clean
 
 $(STAMP): requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -27,6 +27,12 @@
 types: $(STAMP)
 	$(BIN)/mypy
 
+# make prove [SECONDS=300] [SEED=1234]
+SECONDS ?= 300
+SEED ?=
+prove: $(STAMP)
+	$(BIN)/python -m bench prove --seconds $(SECONDS) $(if $(SEED),--seed $(SEED))
+
 binary: $(STAMP)
 	$(BIN)/python -m bench.binary
 
--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -11,7 +11,7 @@
 from cleo.helpers import option
 from cleo.io.inputs.option import Option
 
-from bench.experiments import demo, overhead, overload
+from bench.experiments import demo, overhead, overload, prove
 
 
 def experiment(
@@ -34,6 +34,24 @@
     return ExperimentCommand()
 
 
+class ProveCommand(command.Command):
+    """Searches generated histories."""
+
+    name = "prove"
+    description = "Searches generated histories for violations."
+    options: ClassVar[list[Option]] = [
+        option("seconds", None, "How long.", flag=False, default="300"),
+        option("seed", None, "First seed.", flag=False),
+    ]
+
+    def handle(self) -> int:
+        seed = self.option("seed")
+        return prove.main(
+            seconds=float(self.option("seconds")),
+            seed=None if seed is None else int(seed),
+        )
+
+
 def main() -> int:
     """Runs one experiment."""
     built = application.Application("bench")
@@ -44,6 +62,7 @@
         ("overload", "Slows a deep service under retries.", overload.main),
     ):
         built.add(experiment(name, description, run))
+    built.add(ProveCommand())
     return built.run()
 
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -14,6 +14,10 @@
 hypothesis.settings.register_profile(
     "ci", derandomize=True, deadline=None, max_examples=60, database=None
 )
+# `make prove` searches with this one: other histories for each seed.
+hypothesis.settings.register_profile(
+    "prove", deadline=None, max_examples=400, database=None, print_blob=True
+)
 hypothesis.settings.load_profile("ci")
 
 
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -219,6 +219,7 @@
         key: str | None = KEY,
         body: bytes = b"",
         chunks: list[tuple[float, bytes]] | None = None,
+        context: str | None = None,
         **fields: str,
     ) -> Reply:
         """Makes one call and returns what came back.
@@ -229,6 +230,7 @@
           method: HTTP method.
           key: Key to show.
           body: Whole body.
+          context: Call context to show.
           chunks: A streamed body: pauses in seconds and bytes.
           **fields: Headers, with underscores for dashes.
         """
@@ -239,6 +241,8 @@
         )
         if key is not None:
             given[headers.AUTHORIZATION] = f"Bearer {key}"
+        if context is not None:
+            given[headers.CONTEXT] = context
         given.update({k.replace("_", "-"): v for k, v in fields.items()})
         pool = self.pool(via)
         began = self.loop.time()
--- a/tests/test_eager.py
+++ b/tests/test_eager.py
@@ -5,6 +5,7 @@
 import asyncio
 
 import pytest
+
 from currantcart import eager
 
 
