Run once-only operations at most once, by a claim in the store

Cause: a fee sent again after a lost answer ran a second time. Change: routes marked once need an Idempotency-Key; a call claims its operation by compare-and-swap, reads the claim back, runs, and keeps the answer; a claim is given back only when the call certainly did not run. Two writes an operation (claim, answer), one more when it is given back.

--- a/bench/experiments/overload.py
+++ b/bench/experiments/overload.py
@@ -77,7 +77,7 @@
         factor = FLOOD_FACTOR if number == 0 else 1.0
         kinds = [
             load.Kind(
-                kind, "POST", path, rate,
+                kind, "POST", path, rate, operation=kind == "pay",
                 patience_ms=PATIENCE_MS, attempts=ATTEMPTS,
             )
             for kind, path, rate in (
--- a/src/currantcart/call/model.py
+++ b/src/currantcart/call/model.py
@@ -23,6 +23,7 @@
       importance: Importance of the root call.
       priority: Order under overload.
       idempotent: Whether it may run more than once.
+      once: Whether it must be claimed before it runs.
       deadline_ms: On this node's clock.
       allowance: Retries for it and all below.
       depth: 0 for a root call.
@@ -40,6 +41,7 @@
     importance: graph_model.Importance
     priority: int
     idempotent: bool
+    once: bool
     deadline_ms: float
     allowance: allowance.Allowance
     depth: int
--- a/src/currantcart/errors.py
+++ b/src/currantcart/errors.py
@@ -31,6 +31,7 @@
     ANSWER_ABORTED = "answer_aborted"
     CANCELLED = "cancelled"
     IDEMPOTENCY_KEY_INVALID = "idempotency_key_invalid"
+    IDEMPOTENCY_KEY_REUSED = "idempotency_key_reused"
     ALREADY_RUN = "already_run"
     OUTCOME_UNKNOWN = "outcome_unknown"
     FRAME_INVALID = "frame_invalid"
@@ -95,8 +96,9 @@
     Code.ANSWER_ABORTED: 502,
     Code.CANCELLED: 499,
     Code.IDEMPOTENCY_KEY_INVALID: 400,
+    Code.IDEMPOTENCY_KEY_REUSED: 422,
     Code.ALREADY_RUN: 409,
-    Code.OUTCOME_UNKNOWN: 502,
+    Code.OUTCOME_UNKNOWN: 409,
     Code.STORE_UNAVAILABLE: 503,
     Code.STORE_OUTCOME_UNKNOWN: 503,
 }
--- a/src/currantcart/graph/document.py
+++ b/src/currantcart/graph/document.py
@@ -37,6 +37,14 @@
     path: str = pydantic.Field(default="/", pattern=r"^/")
     importance: ImportanceName
     idempotent: bool = False
+    once: bool = False
+
+    @pydantic.model_validator(mode="after")
+    def check_once(self) -> RouteText:
+        """Refuses a route that both may and may not repeat."""
+        if self.once and self.idempotent:
+            raise ValueError("either idempotent or once")
+        return self
 
 
 class ServiceText(settings_model.StrictModel):
@@ -193,6 +201,7 @@
             path=route.path,
             importance=importance_of(route.importance),
             idempotent=route.idempotent,
+            once=route.once,
         )
         for route in text.routes
     )
--- a/src/currantcart/graph/model.py
+++ b/src/currantcart/graph/model.py
@@ -78,12 +78,14 @@
       path: Prefix of the path inside the service.
       importance: Importance of a root call to it.
       idempotent: Whether it may run more than once.
+      once: Whether calls need an idempotency key and run at most once for it.
     """
 
     method: str
     path: str
     importance: Importance
     idempotent: bool
+    once: bool = False
 
     def matches(self, method: str, path: str) -> bool:
         """Tells whether a request belongs to the route."""
--- a/src/currantcart/http1/server.py
+++ b/src/currantcart/http1/server.py
@@ -41,6 +41,7 @@
       message: Parsed head of the request.
       body: Its body.
       started: Whether a head was written.
+      whole_body: The body once it was read whole; None before.
       keep_alive: Whether the connection may serve another request.
     """
 
@@ -55,6 +56,7 @@
         self.body = body
         self.started = False
         self.finished = False
+        self.whole_body: bytes | None = None
         self.keep_alive = not message.should_close
         self.writer = aiohttp_http.StreamWriter(connection, connection.loop)
         self.expects_continue = (
--- a/src/currantcart/node/app.py
+++ b/src/currantcart/node/app.py
@@ -25,6 +25,7 @@
     guard,
     ingress,
     links,
+    operations,
 )
 from currantcart.settings import model as settings_model
 from currantcart.store import http as store_http
@@ -74,8 +75,10 @@
             members=self.members,
             on_change=self.configuration_changed,
         )
+        self.operations = operations.Operations(self.context, store=store)
         self.ingress = ingress.Ingress(
             self.context,
+            operations=self.operations,
             forwarder=forward.Forwarder(
                 self.context, links=self.links, arrive=self.guard.arrive
             ),
@@ -327,6 +330,8 @@
         tasks.discard(None)
         if tasks:
             await asyncio.wait({task for task in tasks if task})
+        if self.operations.finishing:
+            await asyncio.wait(set(self.operations.finishing))
         # Peers that have not heard yet still send; they get a truthful
         # refusal that they re-route, where a closed port would be a failure.
         await asyncio.sleep(LATE_CALLS_SECONDS)
--- a/src/currantcart/node/forward.py
+++ b/src/currantcart/node/forward.py
@@ -81,11 +81,11 @@
 
     async def forward(
         self, call: call_model.Call, exchange: server.Exchange
-    ) -> int:
+    ) -> messages.Answer:
         """Brings a call to a target and its answer back.
 
         Returns:
-          The HTTP status that the caller got.
+          The head of the answer that the caller got.
 
         Raises:
           errors.Refusal: No target answered.
@@ -99,9 +99,6 @@
             ):
                 return await Forwarding(self, call, exchange).run()
         except TimeoutError:
-            if exchange.started:
-                exchange.abort()
-                return 504
             raise errors.Refusal(
                 errors.Code.DEADLINE_EXCEEDED,
                 errors.Step.RELAY,
@@ -135,7 +132,7 @@
         self.body_sent = False
         self.pump: asyncio.Task[None] | None = None
 
-    async def run(self) -> int:
+    async def run(self) -> messages.Answer:
         """Makes attempts until one is final."""
         body = await self.first_body()
         attempts = retry.Attempts(
@@ -160,6 +157,8 @@
     async def first_body(self) -> Body:
         """Takes what is here of the body, without waiting for all of it."""
         body = self.exchange.body
+        if self.exchange.whole_body is not None:
+            return Body(self.exchange.whole_body, last=True)
         if body.is_eof() and body.total_bytes <= messages.CHUNK_BYTES_MAX:
             return Body(body.read_nowait(), last=True)
         return Body(b"", last=False)
@@ -425,7 +424,7 @@
                 )
             )
 
-    async def relay(self, attempt: Attempt) -> int:
+    async def relay(self, attempt: Attempt) -> messages.Answer:
         """Sends the target's answer to the caller."""
         answer, stream = attempt.head, attempt.stream
         assert isinstance(answer, messages.Answer)
@@ -440,7 +439,7 @@
         else:
             await self.relay_stream(answer, stream, fields)
         self.note(record.Event.ANSWERED, "", detail=str(answer.status))
-        return answer.status
+        return answer
 
     async def relay_stream(
         self,
--- a/src/currantcart/node/ingress.py
+++ b/src/currantcart/node/ingress.py
@@ -9,7 +9,8 @@
 from currantcart.call import model as call_model
 from currantcart.http1 import server
 from currantcart.node import context as node_context
-from currantcart.node import forward, intake, problem
+from currantcart.node import forward, intake, operations, problem
+from currantcart.operation import register
 from currantcart.telemetry import record
 
 CLIENT_CLOSED = 499
@@ -27,10 +28,12 @@
         context: node_context.NodeContext,
         *,
         forwarder: forward.Forwarder,
+        operations: operations.Operations,
     ) -> None:
         self.context = context
         self.intake = intake.Intake(context)
         self.forwarder = forwarder
+        self.operations = operations
         self.connections: set[server.ServerConnection] = set()
 
     def accept(self) -> server.ServerConnection:
@@ -105,7 +108,7 @@
             call.traceparent = hop.traceparent
         status = CLIENT_CLOSED
         try:
-            status = await self.forwarder.forward(call, exchange)
+            status = await self.run_call(call, exchange)
         finally:
             if call.parent is not None:
                 call.parent.cancels.discard(exchange.cancel)
@@ -118,6 +121,23 @@
                 )
         self.count(call, started_ms, status)
 
+    async def run_call(
+        self, call: call_model.Call, exchange: server.Exchange
+    ) -> int:
+        """Forwards a call, under a claim if it must run at most once."""
+        if not call.once:
+            return (await self.forwarder.forward(call, exchange)).status
+        begun = await self.operations.begin(call, exchange)
+        if not isinstance(begun, register.Claim):
+            return await self.operations.replay(begun, call, exchange)
+        try:
+            answer = await self.forwarder.forward(call, exchange)
+        except errors.Refusal as refusal:
+            self.operations.refused(begun, refusal)
+            raise
+        self.operations.answered(begun, answer)
+        return answer.status
+
     def count(
         self, call: call_model.Call, started_ms: float, status: int
     ) -> None:
--- a/src/currantcart/node/intake.py
+++ b/src/currantcart/node/intake.py
@@ -168,6 +168,7 @@
                 importance, workspace.importance, depth=0
             ),
             idempotent=route.idempotent,
+            once=route.once,
             deadline_ms=deadline_ms,
             allowance=allowance.Allowance(service.retries),
             depth=0,
@@ -208,6 +209,7 @@
                 importance, workspace.importance, depth=depth
             ),
             idempotent=route.idempotent,
+            once=route.once,
             deadline_ms=deadline_ms,
             allowance=parent.allowance,
             depth=depth,
--- /dev/null
+++ b/src/currantcart/node/operations.py
@@ -0,0 +1,121 @@
+"""At most once, on a call's way: claim, run, keep the answer."""
+
+from __future__ import annotations
+
+import asyncio
+
+from multidict import CIMultiDict
+
+from currantcart import errors
+from currantcart.call import model as call_model
+from currantcart.http1 import headers, server
+from currantcart.node import context as node_context
+from currantcart.operation import model, register
+from currantcart.store import port
+from currantcart.wire import messages
+
+REPLAYED = "Idempotency-Replayed"
+CONTENT_TYPE = "Content-Type"
+
+
+class Operations:
+    """The once-only operations that this node takes.
+
+    Attributes:
+      finishing: Records that are being written after the answer went out.
+    """
+
+    def __init__(
+        self, context: node_context.NodeContext, *, store: port.Store
+    ) -> None:
+        self.context = context
+        self.register = register.Register(store)
+        self.finishing: set[asyncio.Task[None]] = set()
+
+    async def begin(
+        self, call: call_model.Call, exchange: server.Exchange
+    ) -> register.Claim | model.FirstAnswer:
+        """Claims the operation of a call.
+
+        Raises:
+          errors.Refusal: It must not run, or could not be registered.
+        """
+        key = exchange.message.headers.get(headers.IDEMPOTENCY_KEY)
+        if key is None:
+            raise errors.Refusal(
+                errors.Code.IDEMPOTENCY_KEY_INVALID,
+                errors.Step.OPERATION,
+                "this route needs an Idempotency-Key",
+                not_run=True,
+            )
+        operation = model.build(
+            service=call.service,
+            idempotency_key=key,
+            workspace=call.workspace,
+            method=call.method,
+            path=call.path,
+            body=await self.whole_body(exchange),
+            claim_id=call.call_id,
+        )
+        return await self.register.claim(operation)
+
+    async def whole_body(self, exchange: server.Exchange) -> bytes:
+        """Reads the body, which the fingerprint needs whole.
+
+        Raises:
+          errors.Refusal: It is too large for a once-only operation.
+        """
+        body = exchange.body
+        exchange.continue_body()
+        parts: list[bytes] = []
+        size = 0
+        while not body.at_eof():
+            part = await body.readany()
+            parts.append(part)
+            size += len(part)
+            if size > messages.CHUNK_BYTES_MAX:
+                raise errors.Refusal(
+                    errors.Code.BAD_REQUEST,
+                    errors.Step.OPERATION,
+                    f"the body of a once-only operation is over "
+                    f"{messages.CHUNK_BYTES_MAX} bytes",
+                    not_run=True,
+                )
+        exchange.whole_body = b"".join(parts)
+        return exchange.whole_body
+
+    def answered(self, claim: register.Claim, answer: messages.Answer) -> None:
+        """Keeps an answer, after it went out."""
+        pairs = headers.to_multidict(answer.headers)
+        first = model.FirstAnswer(
+            status=answer.status,
+            content_type=pairs.get(CONTENT_TYPE, ""),
+            body=answer.chunk if answer.last else None,
+        )
+        self.finish(self.register.complete(claim, first))
+
+    def refused(self, claim: register.Claim, refusal: errors.Refusal) -> None:
+        """Gives a claim back if its call certainly did not run."""
+        if refusal.not_run:
+            self.finish(self.register.give_back(claim))
+
+    def finish(self, work: register.Work) -> None:
+        """Writes a record in the background."""
+        task = self.context.loop.create_task(work)
+        self.finishing.add(task)
+        task.add_done_callback(self.finishing.discard)
+
+    async def replay(
+        self,
+        answer: model.FirstAnswer,
+        call: call_model.Call,
+        exchange: server.Exchange,
+    ) -> int:
+        """Sends the first answer again."""
+        fields: CIMultiDict[str] = CIMultiDict(
+            {REPLAYED: "true", headers.CALL_ID: call.call_id}
+        )
+        if answer.content_type:
+            fields[CONTENT_TYPE] = answer.content_type
+        await exchange.respond(answer.status, fields, answer.body or b"")
+        return answer.status
--- /dev/null
+++ b/src/currantcart/operation/__init__.py
@@ -0,0 +1,1 @@
+"""Operations that run at most once: payments, deposits, confirmations."""
