Lend a workspace's tokens between nodes, never more than its burst in all

Cause: a static share refuses most of a workspace whose traffic is skewed to few nodes, and a share below one token admits nothing at all. Change: each node generates rate/N; one that lacks tokens borrows from up to four others over the streams; a loan ends at the borrower before the lender counts on it again; a started node begins with none. No store, no home.

--- a/bench/checkers.py
+++ b/bench/checkers.py
@@ -121,3 +121,22 @@
         for one in ran
         if one.at > left_at
     ]
+
+
+def rate_is_kept(
+    times_ms: Sequence[float], *, rate: float, burst: float
+) -> list[str]:
+    """No span of time holds more admitted calls than rate x time + burst."""
+    times = sorted(times_ms)
+    slack = 1e-6
+    # The worst span ending at a call begins at the call that leaves most
+    # room: keep the least of (rate x time - count) seen so far.
+    found = []
+    best = float("-inf")
+    for count, time_ms in enumerate(times):
+        level = count - rate * time_ms / 1_000
+        best = max(best, -level)
+        over = level + 1 + best - burst
+        if over > slack:
+            found.append(f"{over:.3f} calls too many at {time_ms:.1f} ms")
+    return found
--- a/src/currantcart/node/app.py
+++ b/src/currantcart/node/app.py
@@ -26,6 +26,7 @@
     ingress,
     links,
     operations,
+    rates,
 )
 from currantcart.settings import model as settings_model
 from currantcart.store import http as store_http
@@ -75,10 +76,14 @@
             members=self.members,
             on_change=self.configuration_changed,
         )
+        self.rates = rates.Rates(
+            self.context, links=self.links, members=self.members
+        )
         self.operations = operations.Operations(self.context, store=store)
         self.ingress = ingress.Ingress(
             self.context,
             operations=self.operations,
+            rates=self.rates,
             forwarder=forward.Forwarder(
                 self.context, links=self.links, arrive=self.guard.arrive
             ),
@@ -143,6 +148,14 @@
         self.distributor.state_message(message, stream)
         self.gossip.check_news()
 
+    def rate_message(
+        self,
+        message: messages.Ask | messages.Give,
+        stream: connection.Connection,
+    ) -> None:
+        """Takes a message about workspaces' rates."""
+        self.rates.message(message, stream)
+
     def closed(
         self, stream: connection.Connection, error: Exception | None
     ) -> None:
@@ -161,7 +174,11 @@
     # Reactions to change.
 
     def configuration_changed(self) -> None:
-        """Announces a new revision."""
+        """Takes the workspaces of a new revision, and announces it."""
+        view = self.context.config.require()
+        self.context.limiter.configure(
+            view.workspaces.values(), self.context.clock.now()
+        )
         own = dataclasses.replace(
             self.members.own, revision=self.context.config.revision
         )
--- a/src/currantcart/node/ingress.py
+++ b/src/currantcart/node/ingress.py
@@ -9,7 +9,7 @@
 from currantcart.call import model as call_model
 from currantcart.http1 import server
 from currantcart.node import context as node_context
-from currantcart.node import forward, intake, operations, problem
+from currantcart.node import forward, intake, operations, problem, rates
 from currantcart.operation import register
 from currantcart.telemetry import record
 
@@ -29,11 +29,13 @@
         *,
         forwarder: forward.Forwarder,
         operations: operations.Operations,
+        rates: rates.Rates,
     ) -> None:
         self.context = context
         self.intake = intake.Intake(context)
         self.forwarder = forwarder
         self.operations = operations
+        self.rates = rates
         self.connections: set[server.ServerConnection] = set()
 
     def accept(self) -> server.ServerConnection:
@@ -61,7 +63,7 @@
             call = self.intake.check(
                 message.method, message.path, message.headers
             )
-            self.admit(call)
+            await self.admit(call)
             await self.serve(call, exchange)
         except errors.Refusal as refusal:
             await self.refuse(exchange, call, refusal)
@@ -76,15 +78,14 @@
             self.context.logger.exception("call failed", step="relay")
             exchange.abort()
 
-    def admit(self, call: call_model.Call) -> None:
+    async def admit(self, call: call_model.Call) -> None:
         """Applies what this node decides on its own before routing."""
         self.note(record.Event.ACCEPTED, call, call.workspace)
         if not self.context.controlled:
             return
-        now = self.context.clock.now()
         if call.parent is None:
-            view = self.context.config.require()
-            self.context.limiter.admit(view.workspaces[call.workspace], now)
+            await self.rates.admit(call.workspace)
+        now = self.context.clock.now()
         if not self.context.throttle.admit(stream_of(call), now):
             level = self.context.throttle.level(call.service, now)
             raise errors.Refusal(
--- /dev/null
+++ b/src/currantcart/node/rates.py
@@ -0,0 +1,184 @@
+"""Rates: own tokens first, then loans from other nodes, then a refusal."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+
+from currantcart import errors
+from currantcart.membership import model as membership_model
+from currantcart.membership import table
+from currantcart.node import context as node_context
+from currantcart.node import links as node_links
+from currantcart.wire import connection, messages
+from currantcart.workspace import share
+
+PEERS_ASKED = 4
+ROUND_SECONDS_MAX = 0.05
+DRY_MS = 40.0
+WANTED_SPAN_MS = 250.0
+WANTED_MIN = 2.0
+
+
+@dataclasses.dataclass(slots=True)
+class Round:
+    """One round of asking for loans of one workspace.
+
+    Attributes:
+      workspace: Whose tokens are asked for.
+      wanted: How many.
+      asked_ms: When, before the first message left.
+      open: Numbers of the questions that have no answer yet.
+      done: Set when all are answered or the time is over.
+    """
+
+    workspace: str
+    wanted: float
+    asked_ms: float
+    open: set[int]
+    done: asyncio.Future[None]
+
+
+class Rates:
+    """Admission to workspaces' rates at one node.
+
+    Attributes:
+      rounds: Rounds under way, by workspace.
+      questions: Round of each open question.
+      dry_until: When asking is worth while again, by workspace.
+    """
+
+    def __init__(
+        self,
+        context: node_context.NodeContext,
+        *,
+        links: node_links.Links,
+        members: table.MemberTable,
+    ) -> None:
+        self.context = context
+        self.links = links
+        self.members = members
+        self.rounds: dict[str, Round] = {}
+        self.questions: dict[int, Round] = {}
+        self.dry_until: dict[str, float] = {}
+        self.number = 0
+        self.dialling: set[asyncio.Task[None]] = set()
+
+    async def admit(self, workspace: str) -> None:
+        """Takes one token of a workspace.
+
+        Raises:
+          errors.Refusal: Neither this node nor those asked have one.
+        """
+        held = self.context.limiter.share_of(workspace)
+        now = self.context.clock.now()
+        if held is not None:
+            held.count_demand(now)
+            if held.take(now) or await self.take_loan(workspace, held, now):
+                return
+        raise errors.Refusal(
+            errors.Code.RATE_EXCEEDED,
+            errors.Step.RATE,
+            f"workspace {workspace} is over its rate",
+            not_run=True,
+            retry_after_ms=held.wait_ms(now) if held else DRY_MS,
+        )
+
+    async def take_loan(
+        self, workspace: str, held: share.Share, now: float
+    ) -> bool:
+        """Asks other nodes, once for all calls that wait, and tries again."""
+        if now < self.dry_until.get(workspace, 0.0):
+            return False
+        present = self.rounds.get(workspace) or self.ask(workspace, held, now)
+        if present is None:
+            return False
+        await asyncio.shield(present.done)
+        if held.take(self.context.clock.now()):
+            return True
+        # The others have none to spare: asking for each further call would
+        # let a workspace that floods cost its messages on every node.
+        self.dry_until[workspace] = self.context.clock.now() + DRY_MS
+        return False
+
+    def ask(
+        self, workspace: str, held: share.Share, now: float
+    ) -> Round | None:
+        """Starts a round, if there is anyone to ask."""
+        others = self.members.others(membership_model.Status.ALIVE)
+        if not others:
+            return None
+        loop = self.context.loop
+        peers = self.context.rng.sample(others, min(PEERS_ASKED, len(others)))
+        started = Round(
+            workspace=workspace,
+            wanted=max(WANTED_MIN, held.demand_over(WANTED_SPAN_MS)),
+            asked_ms=now,
+            open=set(),
+            done=loop.create_future(),
+        )
+        self.rounds[workspace] = started
+        for peer in peers:
+            self.question(started, peer)
+        loop.call_later(ROUND_SECONDS_MAX, self.close, started)
+        return started
+
+    def question(self, asked: Round, peer: membership_model.Member) -> None:
+        """Asks one peer for its part of a round."""
+        self.number += 1
+        asked.open.add(self.number)
+        self.questions[self.number] = asked
+        message = messages.Ask(self.number, asked.workspace, asked.wanted)
+        stream = self.links.current(peer.instance)
+        if stream is not None:
+            stream.send(message)
+            return
+        task = self.context.loop.create_task(self.dial_and_ask(peer, message))
+        self.dialling.add(task)
+        task.add_done_callback(self.dialling.discard)
+
+    async def dial_and_ask(
+        self, peer: membership_model.Member, message: messages.Ask
+    ) -> None:
+        """Asks a peer to which no stream is open yet."""
+        try:
+            stream = await self.links.reach(peer)
+        except errors.StreamError:
+            self.answered(messages.Give(message.number, 0.0))
+            return
+        stream.send(message)
+
+    def message(
+        self,
+        message: messages.Ask | messages.Give,
+        stream: connection.Connection,
+    ) -> None:
+        """Lends to a peer, or takes a peer's loan."""
+        if isinstance(message, messages.Give):
+            self.answered(message)
+            return
+        held = self.context.limiter.share_of(message.workspace)
+        now = self.context.clock.now()
+        given = held.lend(message.amount, now) if held is not None else 0.0
+        stream.send(messages.Give(message.number, given))
+
+    def answered(self, give: messages.Give) -> None:
+        """Takes a loan; one that comes twice or unasked is dropped."""
+        asked = self.questions.pop(give.number, None)
+        if asked is None:
+            return
+        asked.open.discard(give.number)
+        held = self.context.limiter.share_of(asked.workspace)
+        if held is not None and 0 < give.amount <= asked.wanted:
+            held.borrow(give.amount, asked_ms=asked.asked_ms)
+        if not asked.open:
+            self.close(asked)
+
+    def close(self, asked: Round) -> None:
+        """Ends a round."""
+        if self.rounds.get(asked.workspace) is asked:
+            del self.rounds[asked.workspace]
+        for number in asked.open:
+            self.questions.pop(number, None)
+        if not asked.done.done():
+            asked.done.set_result(None)
--- a/src/currantcart/wire/connection.py
+++ b/src/currantcart/wire/connection.py
@@ -30,6 +30,11 @@
     ) -> None:
         """Takes a message about configuration and members."""
 
+    def rate_message(
+        self, message: messages.Ask | messages.Give, stream: Connection
+    ) -> None:
+        """Takes a message about workspaces' rates."""
+
     def closed(self, stream: Connection, error: Exception | None) -> None:
         """Notes the end of a stream."""
 
@@ -110,6 +115,8 @@
             self.receive_open(message)
         elif isinstance(message, (messages.Fetch, messages.State)):
             self.service.state_message(message, self)
+        elif isinstance(message, (messages.Ask, messages.Give)):
+            self.service.rate_message(message, self)
         elif isinstance(message, (messages.Hello, messages.Proof)):
             raise self.handshake.failed("a second handshake")
         else:
--- a/src/currantcart/wire/messages.py
+++ b/src/currantcart/wire/messages.py
@@ -221,6 +221,33 @@
     members: list[Any]
 
 
+@dataclasses.dataclass(slots=True)
+class Ask:
+    """Asks for a loan of a workspace's tokens.
+
+    Attributes:
+      number: Pairs the answer with the question.
+      workspace: Whose tokens.
+      amount: How many at most.
+    """
+
+    KIND: ClassVar[int] = 11
+    TYPES: ClassVar[tuple[Any, ...]] = (int, str, NUMBER)
+    number: int
+    workspace: str
+    amount: float
+
+
+@dataclasses.dataclass(slots=True)
+class Give:
+    """Answers an `Ask`; 0 when there is nothing to lend."""
+
+    KIND: ClassVar[int] = 12
+    TYPES: ClassVar[tuple[Any, ...]] = (int, NUMBER)
+    number: int
+    amount: float
+
+
 Message: TypeAlias = (
     Open
     | Answer
@@ -232,6 +259,8 @@
     | Proof
     | Fetch
     | State
+    | Ask
+    | Give
 )
 CLASSES: dict[int, type[Any]] = {
     cls.KIND: cls
@@ -246,6 +275,8 @@
         Proof,
         Fetch,
         State,
+        Ask,
+        Give,
     )
 }
 FIELD_NAMES = {
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -204,11 +204,6 @@
     async def settle(self, seconds: float = 3.0) -> None:
         """Lets the nodes find each other."""
         await asyncio.sleep(seconds)
-        for place in self.places.values():
-            context = place.node.context
-            for workspace in context.config.require().workspaces.values():
-                context.limiter.admit(workspace, context.clock.now())
-        await asyncio.sleep(0.1)
 
     async def call(
         self,
--- a/tests/workspace/test_limiter.py
+++ b/tests/workspace/test_limiter.py
@@ -1,60 +1,151 @@
-"""Rate and burst at one node."""
+"""Rate and burst over the fleet, with loans, losses and replacements."""
 
 from __future__ import annotations
 
+import dataclasses
+from typing import Any
+
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from currantcart import errors
-from currantcart.workspace import bucket, limiter, model
+from bench import checkers
+from currantcart.workspace import limiter, model, share
+
+NODES = 3
+RATE, BURST = 60.0, 9.0
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("pass"), st.floats(0, 300)),
+        st.tuples(st.just("call"), st.integers(0, NODES - 1)),
+        st.tuples(
+            st.just("ask"),
+            st.integers(0, NODES - 1),
+            st.integers(0, NODES - 1),
+            st.floats(0, 20),
+        ),
+        st.tuples(st.just("arrive"), st.integers(0, 5)),
+        st.tuples(st.just("lose"), st.integers(0, 5)),
+        st.tuples(st.just("replace"), st.integers(0, NODES - 1)),
+    ),
+    max_size=150,
+)
+
+
+@dataclasses.dataclass
+class Loan:
+    """A loan on its way."""
+
+    borrower: int
+    amount: float
+    asked_ms: float
+
+
+class Fleet:
+    """Shares of three nodes, and loans that may be late or lost."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.shares = [self.fresh() for _ in range(NODES)]
+        self.on_way: list[Loan] = []
+        self.admitted: list[float] = []
+
+    def fresh(self) -> share.Share:
+        return share.Share(rate=RATE / NODES, burst=BURST / NODES, now=self.now)
+
+    def step(self, kind: str, *values: Any) -> None:
+        if kind == "pass":
+            self.now += values[0]
+        elif kind == "call":
+            self.shares[values[0]].count_demand(self.now)
+            if self.shares[values[0]].take(self.now):
+                self.admitted.append(self.now)
+        elif kind == "ask":
+            borrower, lender, amount = values
+            if borrower != lender:
+                given_ = self.shares[lender].lend(amount, self.now)
+                self.on_way.append(Loan(borrower, given_, self.now))
+        elif kind == "replace":
+            self.shares[values[0]] = self.fresh()
+        elif self.on_way:
+            loan = self.on_way.pop(values[0] % len(self.on_way))
+            if kind == "arrive":
+                self.shares[loan.borrower].borrow(
+                    loan.amount, asked_ms=loan.asked_ms
+                )
+
+
+def violations(steps: list[tuple[Any, ...]]) -> list[str]:
+    fleet = Fleet()
+    for step in steps:
+        fleet.step(*step)
+    return checkers.rate_is_kept(fleet.admitted, rate=RATE, burst=BURST)
+
+
+@given(STEPS)
+def test_fleet_never_exceeds_rate_and_burst(
+    steps: list[tuple[Any, ...]],
+) -> None:
+    """Loans come late, are lost, and their lenders are replaced."""
+    assert violations(steps) == []
+
+
+HOARD: list[tuple[Any, ...]] = [
+    ("pass", 1_000),
+    *[("ask", 0, 1, 9.0), ("arrive", 0), ("pass", 150)] * 2,
+    *[("call", n) for n in (0, 1, 2) for _ in range(20)],
+]
+
+
+def test_checker_sees_a_loan_that_is_not_held_back(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A lender that refills at once makes the burst grow with each loan."""
+    assert violations(HOARD) == []
 
-MILL = model.Workspace("mill", rate=100, burst=20)
+    def careless(self: share.Share, amount: float, now: float) -> float:
+        self.refill(now)
+        lent = min(amount, self.tokens)
+        self.tokens -= lent
+        return lent
 
+    monkeypatch.setattr(share.Share, "lend", careless)
+    assert violations(HOARD) != []
 
-def admitted(limits: limiter.RateLimiter, now: float) -> bool:
-    try:
-        limits.admit(MILL, now)
-    except errors.Refusal as refusal:
-        assert refusal.not_run
-        assert refusal.retry_after_ms > 0
-        return False
-    return True
 
+def test_late_loan_is_worth_nothing() -> None:
+    """A loan is delayed on the way until its lender counts on it again."""
+    held = share.Share(rate=0, burst=0, now=0.0)
+    held.borrow(5.0, asked_ms=0.0)
+    assert not held.take(share.LOAN_MS)
 
-@given(st.lists(st.floats(0, 50), max_size=200), st.integers(1, 5))
-def test_share_is_never_exceeded(gaps: list[float], instances: int) -> None:
-    """Calls come at any times, at a node that just started."""
-    limits = limiter.RateLimiter(fleet_instances=instances)
-    now = 0.0
-    count = 0
-    for gap in gaps:
-        now += gap
-        count += admitted(limits, now)
-        share = MILL.rate * now / 1_000 + MILL.burst
-        assert count <= share / instances + 1e-6
 
+def test_lender_keeps_what_it_soon_needs_itself() -> None:
+    held = share.Share(rate=1_000, burst=10, now=0.0)
+    for _ in range(25):
+        held.count_demand(1_000.0)
+    assert held.lend(100.0, 1_000.0) == pytest.approx(5.0)
 
-def test_restarted_node_does_not_hand_out_a_second_burst() -> None:
-    """A node is killed and comes back each second.
 
-    If each start brought a full bucket, a workspace would get its burst as
-    often as instances are replaced.
-    """
-    total = 0
-    for start in range(0, 5_000, 1_000):
-        limits = limiter.RateLimiter(fleet_instances=1)
-        total += sum(admitted(limits, start) for _ in range(50))
-    assert total <= 5
+@pytest.mark.parametrize("amount", [-1.0, 0.0, float("nan")])
+def test_senseless_amount_lends_nothing(amount: float) -> None:
+    held = share.Share(rate=1_000, burst=10, now=0.0)
+    assert held.lend(amount, 1_000.0) == 0.0
+    assert held.tokens == 10
 
 
 def test_smaller_limits_hold_at_once() -> None:
-    held = bucket.TokenBucket(rate=10, burst=100, now=0.0)
-    held.resize(rate=10, burst=2, now=0.0)
-    assert [held.take(0.0) for _ in range(3)] == [True, True, False]
+    limits = limiter.RateLimiter(fleet_instances=1)
+    limits.configure([model.Workspace("mill", 10, 100)], 0.0)
+    held = limits.shares["mill"]
+    held.refill(20_000.0)
+    limits.configure([model.Workspace("mill", 10, 2)], 20_000.0)
+    assert [held.take(20_000.0) for _ in range(3)] == [True, True, False]
+    assert limits.shares["mill"] is held
 
 
 def test_clock_that_runs_back_gives_nothing() -> None:
-    held = bucket.TokenBucket(rate=1_000, burst=1, now=10.0)
-    held.take(10.0)
+    held = share.Share(rate=1_000, burst=1, now=0.0)
+    assert held.take(10.0)
     assert not held.take(5.0)
     assert not held.take(10.0)
