--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -11,7 +11,7 @@
 from cleo.helpers import option
 from cleo.io.inputs.option import Option
 
-from bench.experiments import demo, once, overhead, overload, prove
+from bench.experiments import demo, once, overhead, overload, prove, rate
 
 
 def experiment(
@@ -60,6 +60,7 @@
         ("demo", "Runs both deployments and prints a table.", demo.main),
         ("overhead", "Measures the cost of a hop.", overhead.main),
         ("once", "Repeats payments under faults.", once.main),
+        ("rate", "Holds workspaces to their rates.", rate.main),
         ("overload", "Slows a deep service under retries.", overload.main),
     ):
         built.add(experiment(name, description, run))
