Make loans short, so that a small burst turns over fast enough

Cause: a lender may have at most its burst share lent out, each loan for the whole of its time: 8 tokens for 400 ms are 20 a second, no more than its rate, so each token that ended unused was missed. Change: loans of 150 ms, asked for 60 ms of demand, split over the peers.

--- a/src/currantcart/node/rates.py
+++ b/src/currantcart/node/rates.py
@@ -15,8 +15,8 @@
 
 PEERS_ASKED = 4
 ROUND_SECONDS_MAX = 0.05
-DRY_MS = 40.0
-WANTED_SPAN_MS = 250.0
+DRY_MS = 20.0
+WANTED_SPAN_MS = 60.0
 WANTED_MIN = 2.0
 
 
@@ -26,7 +26,7 @@
 
     Attributes:
       workspace: Whose tokens are asked for.
-      wanted: How many.
+      wanted: How many from each.
       asked_ms: When, before the first message left.
       open: Numbers of the questions that have no answer yet.
       done: Set when all are answered or the time is over.
@@ -112,7 +112,10 @@
         peers = self.context.rng.sample(others, min(PEERS_ASKED, len(others)))
         started = Round(
             workspace=workspace,
-            wanted=max(WANTED_MIN, held.demand_over(WANTED_SPAN_MS)),
+            # More than is soon used would end unused, and be lost to all.
+            wanted=max(
+                WANTED_MIN, held.demand_over(WANTED_SPAN_MS) / len(peers)
+            ),
             asked_ms=now,
             open=set(),
             done=loop.create_future(),
--- a/src/currantcart/workspace/share.py
+++ b/src/currantcart/workspace/share.py
@@ -14,7 +14,7 @@
 
 from currantcart import clock
 
-LOAN_MS = 400.0
+LOAN_MS = 150.0
 DEMAND_WINDOW_MS = 500.0
 RESERVE_MS = 100.0
 WHOLE = 1.0 - 1e-9
