--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -11,7 +11,15 @@
 from cleo.helpers import option
 from cleo.io.inputs.option import Option
 
-from bench.experiments import demo, once, overhead, overload, prove, rate
+from bench.experiments import (
+    demo,
+    fleetwide,
+    once,
+    overhead,
+    overload,
+    prove,
+    rate,
+)
 
 
 def experiment(
@@ -59,6 +67,13 @@
     for name, description, run in (
         ("demo", "Runs both deployments and prints a table.", demo.main),
         ("overhead", "Measures the cost of a hop.", overhead.main),
+        ("config", "Spreads edits.", fleetwide.config_main),
+        ("withdraw", "Withdraws keys in use.", fleetwide.withdraw_main),
+        (
+            "membership",
+            "Joins, leaves, dies; the cost of control.",
+            fleetwide.membership_main,
+        ),
         ("once", "Repeats payments under faults.", once.main),
         ("rate", "Holds workspaces to their rates.", rate.main),
         ("overload", "Slows a deep service under retries.", overload.main),
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -189,6 +189,22 @@
                         )
                     await asyncio.sleep(0.1)
 
+    async def is_up(self, session: aiohttp.ClientSession, unit: Unit) -> bool:
+        """Tells whether a node answers."""
+        try:
+            async with session.get(f"http://{unit.admin}/status") as response:
+                return response.status == 200
+        except (aiohttp.ClientError, OSError):
+            return False
+
+    async def wait_up(self, session: aiohttp.ClientSession, unit: Unit) -> None:
+        """Waits until a started node answers."""
+        for _ in range(int(READY_SECONDS_MAX / 0.02)):
+            if await self.is_up(session, unit):
+                return
+            await asyncio.sleep(0.02)
+        raise RuntimeError(f"{unit.instance} does not come up")
+
     async def is_ready(
         self, session: aiohttp.ClientSession, unit: Unit
     ) -> bool:
--- a/bench/measure.py
+++ b/bench/measure.py
@@ -38,6 +38,14 @@
     return (int(user) + int(system)) / TICKS_PER_SECOND
 
 
+def resident_mb(pid: int) -> float:
+    """Returns the resident memory of a process."""
+    for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) / 1_000
+    return 0.0
+
+
 def commit() -> str:
     """Returns the commit that is measured; a changed tree is marked."""
     done = subprocess.run(
--- a/tests/workspace/test_limiter.py
+++ b/tests/workspace/test_limiter.py
@@ -92,7 +92,7 @@
 
 HOARD: list[tuple[Any, ...]] = [
     ("pass", 1_000),
-    *[("ask", 0, 1, 9.0), ("arrive", 0), ("pass", 150)] * 2,
+    *[("ask", 0, 1, 9.0), ("arrive", 0), ("pass", 0.4 * share.LOAN_MS)] * 2,
     *[("call", n) for n in (0, 1, 2) for _ in range(20)],
 ]
 
