--- a/src/currantcart/membership/detector.py
+++ b/src/currantcart/membership/detector.py
@@ -54,7 +54,6 @@
       table: The members.
       revision: Configuration revision that datagrams carry.
       store_age_ms: Age of the store's word that datagrams carry.
-      heard_ms: When a peer was last heard.
       strangers: Datagrams of senders whose tables have to be compared.
     """
 
@@ -72,7 +71,6 @@
         self.sequence = 0
         self.revision = 0
         self.store_age_ms = 0.0
-        self.heard_ms = now
         self.probe: Probe | None = None
         self.relays: dict[int, Relay] = {}
         self.next_probe_ms = now
@@ -225,7 +223,6 @@
         self, datagram: messages.Datagram, now: float
     ) -> list[Outgoing]:
         """Takes a datagram and returns the answers."""
-        self.heard_ms = now
         sending: list[Outgoing] = []
         if self.is_stranger(datagram.sender):
             self.strangers.append(datagram)
--- a/src/currantcart/node/context.py
+++ b/src/currantcart/node/context.py
@@ -10,6 +10,7 @@
 from currantcart.admission import throttle
 from currantcart.call import active, allowance
 from currantcart.config import view as config_view
+from currantcart.membership import isolation
 from currantcart.routing import router
 from currantcart.settings import model as settings_model
 from currantcart.telemetry import log, metrics, record, trace
@@ -35,6 +36,7 @@
       recorder: Record of decisions.
       tracing: Spans.
       logger: Logs.
+      isolation: When this node last heard from anyone.
       draining: Whether the node is leaving.
     """
 
@@ -52,6 +54,7 @@
     recorder: record.Recorder
     tracing: trace.Tracing
     logger: log.Logger
+    isolation: isolation.Isolation
     draining: bool = False
 
     @property
@@ -98,4 +101,5 @@
             settings.trace, instance=settings.instance, rng=rng, logger=logger
         ),
         logger=logger,
+        isolation=isolation.Isolation(now=clock.now()),
     )
--- a/src/currantcart/node/distribute.py
+++ b/src/currantcart/node/distribute.py
@@ -18,7 +18,7 @@
 from currantcart.wire import connection, messages
 
 WATCHERS_PER_DOMAIN = 2
-WATCH_MS = 10_000.0
+WATCH_MS = 5_000.0
 PAUSE_SECONDS_MIN = 0.3
 PAUSE_SECONDS_MAX = 1.5
 SYNC_SECONDS_MIN = 5.0
@@ -169,6 +169,7 @@
         entry = await self.store.watch(
             document.STORE_KEY, index=self.store_index, wait_ms=WATCH_MS
         )
+        self.context.isolation.heard_store(self.context.clock.now())
         if entry.index < self.store_index:
             self.context.logger.error(
                 "store went back",
--- a/src/currantcart/node/gossip.py
+++ b/src/currantcart/node/gossip.py
@@ -54,6 +54,7 @@
             self.context.metrics.streams.labels(error.code).inc()
             return
         now = self.context.clock.now()
+        self.context.isolation.heard_peer(now)
         self.send(self.detector.receive(datagram, now))
         self.check_news()
         if datagram.revision > self.context.config.revision:
--- a/src/currantcart/node/intake.py
+++ b/src/currantcart/node/intake.py
@@ -123,6 +123,12 @@
                     "the key of the root call was withdrawn",
                 )
             return Origin(parent.workspace, parent.key_id, parent)
+        if self.context.isolation.is_isolated(now):
+            raise refuse(
+                errors.Code.NOT_READY,
+                errors.Step.AUTHENTICATE,
+                "this node is cut off and may have missed withdrawn keys",
+            )
         shown = headers.bearer_key(given.get(headers.AUTHORIZATION))
         if shown is None:
             raise refuse(
--- a/tests/node/test_distribute.py
+++ b/tests/node/test_distribute.py
@@ -10,6 +10,7 @@
 from currantcart.config import document
 from currantcart.membership import model
 from currantcart.node import distribute
+from tests.fakes.store import MemoryStore
 from tests.fakes.world import KEY, World, default_document
 from tests.membership.test_detector import own
 
@@ -133,3 +134,35 @@
     ]  # fmt: skip
     watchers = [m for m in rest if distribute.is_watcher(m, rest + gone)]
     assert len(watchers) == distribute.WATCHERS_PER_DOMAIN
+
+
+async def test_isolated_node_stops_within_a_bound(fleet: World) -> None:
+    """A node loses all peers and the store while a key is withdrawn.
+
+    It cannot hear of that; without a bound the key would work there for as
+    long as the node stays cut off.
+    """
+    names = list(fleet.places)
+    node = fleet.places[names[0]].node
+    for other in names[1:]:
+        fleet.loop.cuts.add(frozenset((names[0], other)))
+        fleet.loop.drop_connections(names[0], other)
+    node.distributor.store = MemoryStore()
+    node.distributor.store.down = True
+    fleet.configure(without_key(2))
+    await asyncio.sleep(20)
+    assert (await fleet.call(names[0], "/grades/a")).code == "not_ready"
+    assert (await fleet.call(names[1], "/grades/a")).code == "key_unknown"
+    fleet.loop.cuts.clear()
+    await asyncio.sleep(20)
+    assert (await fleet.call(names[0], "/grades/a")).code == "key_unknown"
+    reply = await fleet.call(names[0], "/grades/a", key=f"{KEY}2")
+    assert reply.whole
+
+
+async def test_only_node_outlasts_an_outage_of_the_store(world: World) -> None:
+    await world.start("grades-1", "grades")
+    await world.settle()
+    world.store.down = True
+    await asyncio.sleep(300)
+    assert (await world.call("grades-1", "/grades/a")).whole
