--- a/src/currantcart/cli/fleet.py
+++ b/src/currantcart/cli/fleet.py
@@ -13,6 +13,8 @@
 from currantcart import errors
 from currantcart.cli import base, output
 
+IN_FORCE_POLLS = 70
+IN_FORCE_POLL_SECONDS = 0.1
 GONE = frozenset({"dead", "leaving"})
 STATUS_COLUMNS = (
     "instance", "service", "domain", "status", "slots", "running", "waiting",
@@ -65,6 +67,26 @@
     ]
 
 
+async def wait_in_force(address: str, revision: int) -> list[str]:
+    """Waits until all members have a revision.
+
+    Returns:
+      The members not yet heard from when the time is over.
+    """
+    missing: list[str] = []
+    for _ in range(IN_FORCE_POLLS):
+        known = await base.ask_node(address, "/status")
+        missing = [
+            member["instance"]
+            for member in known["members"]
+            if member["status"] not in GONE and member["revision"] < revision
+        ]
+        if not missing:
+            return []
+        await asyncio.sleep(IN_FORCE_POLL_SECONDS)
+    return missing
+
+
 class StatusCommand(base.BaseCommand):
     """Shows the fleet."""
 
--- a/src/currantcart/cli/output.py
+++ b/src/currantcart/cli/output.py
@@ -7,6 +7,8 @@
 
 from cleo.commands import command
 
+from currantcart.config import edits
+
 
 def table(
     shown: command.Command,
@@ -34,3 +36,13 @@
 ) -> None:
     """Writes one outcome as a line, or as a JSON object."""
     shown.line(json.dumps(fields) if shown.option("json") else text)
+
+
+def accepted(shown: command.Command, edit: edits.Accepted) -> None:
+    """Writes that an edit was accepted."""
+    result(
+        shown,
+        f"accepted as revision {edit.revision}: {edit.summary}",
+        revision=edit.revision,
+        summary=edit.summary,
+    )
--- a/src/currantcart/cli/services.py
+++ b/src/currantcart/cli/services.py
@@ -69,12 +69,7 @@
                 base_revision=None if seen is None else int(seen),
             )
         )
-        output.result(
-            self,
-            f"accepted as revision {accepted.revision}: {accepted.summary}",
-            revision=accepted.revision,
-            summary=accepted.summary,
-        )
+        output.accepted(self, accepted)
         return 0
 
 
@@ -99,6 +94,28 @@
         return 0
 
 
+class UndoCommand(base.BaseCommand):
+    """Undoes a change."""
+
+    name = "undo"
+    description = "Undoes a change of services or workspaces, as a new one."
+    arguments: ClassVar[list[Argument]] = [
+        argument("revision", "Revision of the change.")
+    ]
+    options: ClassVar[list[Option]] = base.STORE_OPTIONS
+
+    def handle(self) -> int:
+        """Makes the edit."""
+        text = self.argument("revision")
+        if not text.isdecimal():
+            raise base.UsageError(
+                f"revision: found {text!r}, allowed: a whole number"
+            )
+        change = changes.undo(int(text))
+        output.accepted(self, self.edit(lambda editor: editor.apply(change)))
+        return 0
+
+
 class HistoryCommand(base.BaseCommand):
     """Lists accepted changes."""
 
--- a/src/currantcart/cli/workspaces.py
+++ b/src/currantcart/cli/workspaces.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import os
 import secrets
 from typing import ClassVar
 
@@ -10,8 +12,9 @@
 from cleo.io.inputs.argument import Argument
 from cleo.io.inputs.option import Option
 
-from currantcart.cli import base, output
-from currantcart.config import changes, document, edits
+from currantcart import errors
+from currantcart.cli import base, fleet, output
+from currantcart.config import changes, document
 from currantcart.settings import jsonc
 from currantcart.settings import model as settings_model
 from currantcart.workspace import model as workspace_model
@@ -29,16 +32,6 @@
 ]  # fmt: skip
 
 
-def show_accepted(shown: base.BaseCommand, accepted: edits.Accepted) -> None:
-    """Writes that an edit was accepted."""
-    output.result(
-        shown,
-        f"accepted as revision {accepted.revision}: {accepted.summary}",
-        revision=accepted.revision,
-        summary=accepted.summary,
-    )
-
-
 class WorkspaceCreateCommand(base.BaseCommand):
     """Creates a workspace."""
 
@@ -65,7 +58,7 @@
                 changes.create_workspace(name, workspace)
             )
         )
-        show_accepted(self, accepted)
+        output.accepted(self, accepted)
         return 0
 
 
@@ -89,7 +82,7 @@
             accepted = self.edit(lambda editor: editor.apply(change))
         except pydantic.ValidationError as error:
             raise base.UsageError(jsonc.describe(error)) from error
-        show_accepted(self, accepted)
+        output.accepted(self, accepted)
         return 0
 
 
@@ -141,12 +134,24 @@
     name = "key withdraw"
     description = "Withdraws a key."
     arguments: ClassVar[list[Argument]] = [argument("key_id", "Id of the key.")]
-    options: ClassVar[list[Option]] = base.STORE_OPTIONS
+    options: ClassVar[list[Option]] = [*base.STORE_OPTIONS, base.ADMIN_OPTION]
 
     def handle(self) -> int:
-        """Makes the edit."""
+        """Makes the edit, and with a node to ask says where it is in force."""
         change = changes.withdraw_key(self.argument("key_id"))
-        show_accepted(self, self.edit(lambda editor: editor.apply(change)))
+        accepted = self.edit(lambda editor: editor.apply(change))
+        output.accepted(self, accepted)
+        if not (self.option("admin") or os.environ.get(base.ADMIN_VARIABLE)):
+            return 0
+        address = self.address("admin", base.ADMIN_VARIABLE)
+        missing = asyncio.run(fleet.wait_in_force(address, accepted.revision))
+        if missing:
+            raise errors.CurrantcartError(
+                errors.Code.PEER_UNREACHABLE,
+                errors.Step.COMMAND,
+                f"accepted, but not heard from {', '.join(missing)}",
+            )
+        output.result(self, "in force everywhere", in_force=True)
         return 0
 
 
--- a/src/currantcart/config/changes.py
+++ b/src/currantcart/config/changes.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 from currantcart import errors
 from currantcart.config import document, edits
 from currantcart.graph import document as graph_document
@@ -106,3 +108,62 @@
         return edits.Changed({"keys": keys}, f"key {key_id}: withdrawn")
 
     return change
+
+
+def find_undoable(
+    current: document.Document, revision: int
+) -> document.EditRecord:
+    """Returns the record of an edit that can be undone, or raises."""
+    for record in current.history:
+        if record.revision == revision and record.before:
+            return record
+    raise refuse(
+        f"revision {revision} cannot be undone: it is too old, unknown, "
+        "or an edit of keys",
+        code=errors.Code.NOT_FOUND,
+    )
+
+
+def touched(record: document.EditRecord) -> set[str]:
+    """Returns what an edit changed, by part and name."""
+    names = record.before.get("workspaces", {})
+    parts = {f"workspaces.{name}" for name in names}
+    return parts | ({"services"} & record.before.keys())
+
+
+def undo(revision: int) -> edits.Change:
+    """Puts back what an edit replaced, as a new revision."""
+
+    def change(current: document.Document) -> edits.Changed:
+        undone = find_undoable(current, revision)
+        for later in current.history:
+            common = touched(later) & touched(undone)
+            if later.revision > revision and common:
+                raise refuse(
+                    f"revision {later.revision} by {later.author} changed "
+                    f"{', '.join(sorted(common))} since",
+                    code=errors.Code.EDIT_CONFLICT,
+                )
+        parts: dict[str, Any] = {}
+        if "services" in undone.before:
+            parts["services"] = graph_document.ServicesText.model_validate(
+                undone.before["services"]
+            )
+        if "workspaces" in undone.before:
+            parts["workspaces"] = restored(current, undone)
+        return edits.Changed(parts, f"undo of revision {revision}")
+
+    return change
+
+
+def restored(
+    current: document.Document, undone: document.EditRecord
+) -> dict[str, document.WorkspaceText]:
+    """Returns the workspaces as they were before an edit."""
+    workspaces = dict(current.workspaces)
+    for name, values in undone.before["workspaces"].items():
+        if values is None:
+            workspaces.pop(name, None)
+        else:
+            workspaces[name] = document.WorkspaceText.model_validate(values)
+    return workspaces
--- a/src/currantcart/config/edits.py
+++ b/src/currantcart/config/edits.py
@@ -13,6 +13,7 @@
 from currantcart.store import port
 
 ATTEMPTS_MAX = 5
+UNDO_MAX = 20
 Change = Callable[[document.Document], "Changed"]
 
 
@@ -44,6 +45,29 @@
     )
 
 
+def previous_parts(
+    current: document.Document, changed: Changed
+) -> dict[str, Any]:
+    """Returns what an edit replaces, for undoing it.
+
+    Keys are left out: a withdrawn key is never given again.
+    """
+    before: dict[str, Any] = {}
+    if "services" in changed.parts:
+        before["services"] = current.services.model_dump(
+            mode="json", exclude_defaults=True
+        )
+    fresh = changed.parts.get("workspaces")
+    if fresh is not None:
+        old = current.workspaces
+        before["workspaces"] = {
+            name: old[name].model_dump(mode="json") if name in old else None
+            for name in {*old, *fresh}
+            if old.get(name) != fresh.get(name)
+        }
+    return before
+
+
 def next_document(
     current: document.Document,
     changed: Changed,
@@ -53,16 +77,19 @@
     wall_ms: float,
 ) -> document.Document:
     """Returns the document that an edit makes of the current one."""
-    before = current.model_dump(include=set(changed.parts), mode="json")
     record = document.EditRecord(
         edit_id=edit_id,
         revision=current.revision + 1,
         author=author,
         wall_ms=wall_ms,
         summary=changed.summary,
-        before=before if "services" in changed.parts else {},
+        before=previous_parts(current, changed),
     )
     history = [*current.history, record][-document.HISTORY_MAX :]
+    # What old edits replaced would fill the value of the store in time.
+    history = [
+        old.model_copy(update={"before": {}}) for old in history[:-UNDO_MAX]
+    ] + history[-UNDO_MAX:]
     return current.model_copy(
         update={
             **changed.parts,
--- a/src/currantcart/graph/document.py
+++ b/src/currantcart/graph/document.py
@@ -67,7 +67,7 @@
     utc_offset: Annotated[
         str, pydantic.StringConstraints(pattern=OFFSET_PATTERN)
     ] = "+00:00"
-    services: dict[settings_model.Name, ServiceText]
+    services: dict[settings_model.Name, ServiceText] = {}
 
 
 def importance_of(name: str) -> model.Importance:
--- a/src/currantcart/run.py
+++ b/src/currantcart/run.py
@@ -21,6 +21,7 @@
     services.ServicesApplyCommand,
     services.ServicesShowCommand,
     services.HistoryCommand,
+    services.UndoCommand,
     workspaces.WorkspaceCreateCommand,
     workspaces.WorkspaceSetCommand,
     workspaces.WorkspaceListCommand,
--- a/tests/config/test_edits.py
+++ b/tests/config/test_edits.py
@@ -8,6 +8,7 @@
 
 from currantcart import clock, errors
 from currantcart.config import changes, document, edits, view
+from currantcart.graph import document as graph_document
 from currantcart.store import port
 from tests.fakes.store import MemoryStore
 
@@ -125,3 +126,49 @@
         with pytest.raises(errors.SettingsError):
             state.offer(text)
     assert state.revision == 1
+
+
+async def test_change_is_undone_as_a_new_revision() -> None:
+    store = MemoryStore()
+    await editor(store).apply(changes.create_workspace("mill", LIMITS))
+    await editor(store).apply(
+        changes.set_workspace("mill", rate=99, burst=None, importance=None)
+    )
+    made = await editor(store).apply(changes.undo(2))
+    current = await stored(store)
+    assert (made.revision, current.workspaces["mill"].rate) == (3, 10)
+    await editor(store).apply(changes.undo(3))
+    assert (await stored(store)).workspaces["mill"].rate == 99
+
+
+async def test_undo_of_what_changed_since_is_a_conflict() -> None:
+    """An operator undoes a change that another one has built upon."""
+    store = MemoryStore()
+    await editor(store).apply(changes.create_workspace("mill", LIMITS))
+    change = changes.set_workspace("mill", rate=9, burst=None, importance=None)
+    await editor(store, "ben").apply(change)
+    with pytest.raises(errors.CurrantcartError, match="revision 2 by ben"):
+        await editor(store).apply(changes.undo(1))
+
+
+async def test_withdrawn_key_is_never_given_again() -> None:
+    """Undoing a withdrawal would bring back a key that leaked."""
+    store = MemoryStore()
+    await editor(store).apply(changes.create_workspace("mill", LIMITS))
+    await editor(store).apply(changes.give_key("mill", key="k", key_id="i"))
+    await editor(store).apply(changes.withdraw_key("i"))
+    with pytest.raises(errors.CurrantcartError, match="edit of keys"):
+        await editor(store).apply(changes.undo(3))
+
+
+async def test_history_never_outgrows_the_store() -> None:
+    """Large services texts are applied for months."""
+    store = MemoryStore()
+    text = graph_document.ServicesText.model_validate(
+        {"services": {f"s{n}": {"patience_ms": 5 + n} for n in range(300)}}
+    )
+    for _ in range(document.HISTORY_MAX + 5):
+        await editor(store).apply(changes.apply_services(text))
+    entry = await store.get(document.STORE_KEY)
+    assert len(entry.value) < document.DOCUMENT_BYTES_MAX // 2
+    assert len((await stored(store)).history) == document.HISTORY_MAX
