--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -12,6 +12,7 @@
 from cleo.io.inputs.option import Option
 
 from bench.experiments import (
+    admission,
     demo,
     fleetwide,
     once,
@@ -67,6 +68,7 @@
     for name, description, run in (
         ("demo", "Runs both deployments and prints a table.", demo.main),
         ("overhead", "Measures the cost of a hop.", overhead.main),
+        ("admission", "Compares orders of a standing queue.", admission.main),
         ("config", "Spreads edits.", fleetwide.config_main),
         ("withdraw", "Withdraws keys in use.", fleetwide.withdraw_main),
         (
--- a/tests/telemetry/test_telemetry.py
+++ b/tests/telemetry/test_telemetry.py
@@ -6,6 +6,7 @@
 
 import pytest
 import structlog
+from opentelemetry.proto.collector.trace.v1 import trace_service_pb2
 from syrupy.assertion import SnapshotAssertion
 
 from currantcart.telemetry import log, record
@@ -60,6 +61,46 @@
     assert sum(span["parent_id"] in own for span in spans) == 3
 
 
+async def test_spans_go_out_as_otlp(world: World) -> None:
+    """The collector of the operators reads protobuf over HTTP."""
+    trace = {"exporter": "otlp", "ratio": 1, "endpoint": "http://10.9.9.9/v1"}
+    place = await world.start("grades-1", "grades", trace=trace)
+    await world.settle()
+    tracing = place.node.context.tracing
+    posted: list[tuple[str, bytes]] = []
+
+    class Session:
+        """Takes what would be posted."""
+
+        def post(self, url: str, *, data: bytes, **rest: object) -> Session:
+            del rest
+            posted.append((url, data))
+            return self
+
+        async def __aenter__(self) -> Session:
+            return self
+
+        async def __aexit__(self, *error: object) -> None:
+            return
+
+        async def read(self) -> bytes:
+            return b""
+
+    await world.call("grades-1", "/grades/a")
+    spans = list(tracing.pending)
+    assert len(spans) == 2
+    await tracing.export(spans, Session())  # type: ignore[arg-type]
+    url, data = posted[0]
+    request = trace_service_pb2.ExportTraceServiceRequest.FromString(data)
+    names = [
+        span.name
+        for resource in request.resource_spans
+        for scope in resource.scope_spans
+        for span in scope.spans
+    ]
+    assert (url, sorted(names)) == (trace["endpoint"], ["call", "target"])
+
+
 async def test_unsampled_trace_context_is_passed_on(world: World) -> None:
     place = await world.start("grades-1", "grades")
     await world.settle()
