Carry a leaving node's own calls until its target is done

Cause: reading the drain showed that it closed the callers' port at once, so a target still at work could make no calls of its own, and its running request failed in the middle. Change: while the target works the port stays open and each answer closes its connection; it closes once the guard is done. The drain, the watch of the target and the process are modules of their own.

--- a/src/currantcart/cli/node.py
+++ b/src/currantcart/cli/node.py
@@ -27,7 +27,7 @@
     def handle(self) -> int:
         """Runs until a signal."""
         # Only this command needs the node; the others start faster without.
-        from currantcart.node import app
+        from currantcart.node import serve
 
         path = self.option("settings")
         if not path:
@@ -35,7 +35,7 @@
         settings = settings_model.load(pathlib.Path(path))
         settings.secret()
         log.configure(level=settings.log_level)
-        return asyncio.run(app.run(settings))
+        return asyncio.run(serve.run(settings))
 
 
 class SettingsCheckCommand(base.BaseCommand):
--- a/src/currantcart/node/app.py
+++ b/src/currantcart/node/app.py
@@ -4,10 +4,7 @@
 
 import asyncio
 import dataclasses
-import gc
 import random
-import secrets
-import signal
 from collections.abc import Awaitable, Callable
 
 from aiohttp import web
@@ -27,19 +24,13 @@
     links,
     operations,
     rates,
+    target_watch,
 )
 from currantcart.settings import model as settings_model
-from currantcart.store import http as store_http
 from currantcart.store import port
 from currantcart.wire import call_stream, connection, messages
 
-TARGET_CHECK_SECONDS = 0.5
-TARGET_CHECK_TIMEOUT_SECONDS = 1.0
-TARGET_FAILURES_MAX = 3
-DRAIN_NOTICE_SECONDS = 0.2
-LATE_CALLS_SECONDS = 1.5
 RESTART_SECONDS = 1.0
-GC_YOUNG, GC_MIDDLE, GC_OLD = 20_000, 20, 50
 
 
 class Node:
@@ -96,12 +87,15 @@
             on_news=self.members_changed,
             on_lack=self.distributor.fetch_from,
         )
+        self.target_watch = target_watch.TargetWatch(
+            self.context, members=self.members, gossip=self.gossip
+        )
         self.tasks: set[asyncio.Task[None]] = set()
-        self.servers: list[asyncio.Server] = []
+        self.peers_server: asyncio.Server | None = None
+        self.callers_server: asyncio.Server | None = None
         self.admin_runner = web.AppRunner(admin.build_app(self))
         self.stopping = asyncio.Event()
         self.hurry = asyncio.Event()
-        self.target_failures = 0
         self.add_gauges()
 
     def add_gauges(self) -> None:
@@ -206,22 +200,18 @@
         settings, loop = self.context.settings, self.context.loop
         listen = settings.listen
         host, port_number = settings_model.split_address(listen.peers)
-        self.servers.append(
-            await loop.create_server(
-                self.links.accept,
-                host,
-                port_number,
-                ssl=links.server_tls(settings.tls),
-            )
+        self.peers_server = await loop.create_server(
+            self.links.accept,
+            host,
+            port_number,
+            ssl=links.server_tls(settings.tls),
         )
         await loop.create_datagram_endpoint(
             lambda: self.gossip, local_addr=(host, port_number)
         )
         host, port_number = settings_model.split_address(listen.callers)
-        self.servers.append(
-            await loop.create_server(
-                self.ingress.accept, host, port_number, backlog=1_024
-            )
+        self.callers_server = await loop.create_server(
+            self.ingress.accept, host, port_number, backlog=1_024
         )
         await self.admin_runner.setup()
         host, port_number = settings_model.split_address(listen.admin)
@@ -231,7 +221,7 @@
             self.distributor.join,
             self.distributor.watch,
             self.distributor.sync,
-            self.watch_target,
+            self.target_watch.run,
         ):
             self.keep(work)
         if self.context.tracing.tracer is not None:
@@ -262,104 +252,25 @@
                 self.context.logger.exception("background task failed")
                 await asyncio.sleep(RESTART_SECONDS)
 
-    async def watch_target(self) -> None:
-        """Announces the target while it takes connections."""
-        settings = self.context.settings
-        host, port_number = settings_model.split_address(
-            settings.target.address
-        )
-        while True:
-            try:
-                async with asyncio.timeout(TARGET_CHECK_TIMEOUT_SECONDS):
-                    _, writer = await asyncio.open_connection(host, port_number)
-                writer.close()
-                self.target_failures = 0
-                self.announce_slots(settings.target.slots)
-            except (OSError, TimeoutError):
-                self.target_failures += 1
-                if self.target_failures >= TARGET_FAILURES_MAX:
-                    self.announce_slots(0)
-            await asyncio.sleep(TARGET_CHECK_SECONDS)
-
-    def announce_slots(self, slots: int) -> None:
-        """Announces that the target serves, or that it does not."""
-        own = self.members.own
-        if own.slots == slots or self.context.draining:
-            return
-        wall_ms = int(self.context.clock.wall())
-        started = wall_ms if slots else own.started
-        self.members.announce(
-            dataclasses.replace(
-                own,
-                slots=slots,
-                incarnation=own.incarnation + 1,
-                started=started,
-            ),
-            self.context.clock.now(),
-        )
-        self.context.logger.info("target announced", slots=slots)
-        self.gossip.announce()
-
     def request_stop(self) -> None:
         """Begins a graceful shutdown; asked again, ends it at once."""
         if self.stopping.is_set():
             self.hurry.set()
         self.stopping.set()
 
-    async def drain(self) -> int:
-        """Leaves without cutting a call.
-
-        Returns:
-          How many calls were cut because the time was over.
-        """
-        context_, loop = self.context, self.context.loop
-        context_.draining = True
-        self.members.announce(
-            dataclasses.replace(
-                self.members.own, status=membership_model.Status.LEAVING
-            ),
-            context_.clock.now(),
-        )
-        self.gossip.announce()
-        self.servers[1].close()
-        for caller in list(self.ingress.connections):
-            caller.drain()
-        finishing = loop.create_task(self.finish_calls())
-        hurrying = loop.create_task(self.hurry.wait())
-        await asyncio.wait(
-            {finishing, hurrying},
-            timeout=context_.settings.drain_ms / 1_000,
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-        finishing.cancel()
-        hurrying.cancel()
-        cut = self.guard.cancel_running() + sum(
-            1 for caller in self.ingress.connections if caller.task
-        )
-        context_.logger.info("drained", calls_cut=cut)
-        return cut
-
-    async def finish_calls(self) -> None:
-        """Waits for all calls, and for late ones of stale peers."""
-        await asyncio.sleep(DRAIN_NOTICE_SECONDS)
-        await self.guard.finish_running()
-        tasks = {caller.task for caller in self.ingress.connections}
-        tasks.discard(None)
-        if tasks:
-            await asyncio.wait({task for task in tasks if task})
-        if self.operations.finishing:
-            await asyncio.wait(set(self.operations.finishing))
-        # Peers that have not heard yet still send; they get a truthful
-        # refusal that they re-route, where a closed port would be a failure.
-        await asyncio.sleep(LATE_CALLS_SECONDS)
+    def stop_listening(self) -> None:
+        """Takes no more callers' connections."""
+        if self.callers_server is not None:
+            self.callers_server.close()
 
     async def stop(self) -> None:
         """Closes everything."""
         for task in list(self.tasks):
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
-        for server in self.servers:
-            server.close()
+        self.stop_listening()
+        if self.peers_server is not None:
+            self.peers_server.close()
         for caller in list(self.ingress.connections):
             caller.close()
         self.links.close()
@@ -369,18 +280,6 @@
         await self.admin_runner.cleanup()
 
 
-def tune_collector() -> None:
-    """Makes the garbage collector's pauses rare.
-
-    Calls leave few cycles behind, but at the default thresholds the collector
-    walks all modules and models several times a second, and the calls of that
-    moment wait for it.
-    """
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(GC_YOUNG, GC_MIDDLE, GC_OLD)
-
-
 def own_member(
     settings: settings_model.Settings, started: int
 ) -> membership_model.Member:
@@ -399,31 +298,3 @@
         ramp_ms=settings.target.ramp_ms,
         revision=0,
     )
-
-
-async def run(settings: settings_model.Settings) -> int:
-    """Runs a node until it is asked to stop.
-
-    Returns:
-      0 after a graceful shutdown, 1 when calls were cut.
-    """
-    loop = asyncio.get_running_loop()
-    store = store_http.HttpStore(settings.store)
-    node = Node(
-        settings,
-        clock=clock_module.system_clock(),
-        loop=loop,
-        store=store,
-        rng=random.Random(secrets.randbits(64)),
-    )
-    for name in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(name, node.request_stop)
-    try:
-        await node.start()
-        tune_collector()
-        await node.stopping.wait()
-        cut = await node.drain()
-    finally:
-        await node.stop()
-        await store.close()
-    return 1 if cut else 0
--- a/src/currantcart/node/ingress.py
+++ b/src/currantcart/node/ingress.py
@@ -21,6 +21,7 @@
 
     Attributes:
       connections: Open connections of callers.
+      closing: Whether each answer closes its connection.
     """
 
     def __init__(
@@ -37,6 +38,7 @@
         self.operations = operations
         self.rates = rates
         self.connections: set[server.ServerConnection] = set()
+        self.closing = False
 
     def accept(self) -> server.ServerConnection:
         """Returns the protocol of a caller's new connection."""
@@ -58,6 +60,7 @@
     async def handle(self, exchange: server.Exchange) -> None:
         """Answers one exchange."""
         call: call_model.Call | None = None
+        exchange.keep_alive = exchange.keep_alive and not self.closing
         try:
             message = exchange.message
             call = self.intake.check(
--- a/tests/node/test_app.py
+++ b/tests/node/test_app.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from currantcart.node import drain
 from tests.fakes.world import World
 
 
@@ -45,3 +46,38 @@
     assert reply.whole
     entries = fleet.history("permits") + fleet.history("grades")
     assert [entry["leaked"] for entry in entries] == [False, False]
+
+
+async def test_leaving_node_still_carries_its_targets_own_calls(
+    fleet: World,
+) -> None:
+    """A node is told to stop while its target works on a call.
+
+    The target then calls a service below. If its node took no more calls,
+    the running request, an upload among them, would fail in the middle.
+    """
+    place = fleet.places["permits-1"]
+    place.target.behaviour.work_ms = 500
+    call = asyncio.create_task(fleet.call("grades-1", "/permits/status"))
+    await asyncio.sleep(0.1)
+    place.node.request_stop()
+    cut = await drain.drain(place.node)
+    assert (await call).whole
+    assert cut == 0
+
+
+async def test_callers_of_a_leaving_node_are_served_meanwhile(
+    fleet: World,
+) -> None:
+    """Callers stay connected to a node that leaves, and send on."""
+    place = fleet.places["grades-1"]
+    place.target.behaviour.work_ms = 500
+    running = asyncio.create_task(fleet.call("grades-1", "/grades/a"))
+    await asyncio.sleep(0.1)
+    draining = asyncio.create_task(drain.drain(place.node))
+    await asyncio.sleep(0.1)
+    replies = [await fleet.call("grades-1", "/grades/a") for _ in range(5)]
+    assert all(reply.whole for reply in replies)
+    assert {reply.headers.get("Connection") for reply in replies} == {"close"}
+    assert (await running).whole
+    assert await draining == 0
--- a/tests/proof/test_histories.py
+++ b/tests/proof/test_histories.py
@@ -13,7 +13,7 @@
 from bench import checkers
 from currantcart import errors
 from currantcart.http1 import client
-from currantcart.node import dispatch
+from currantcart.node import dispatch, drain
 from tests.fakes import loop as fake_loop
 from tests.fakes.world import Reply, World
 from tests.proof import histories
@@ -114,7 +114,7 @@
             behaviour.fail_ratio, behaviour.fail_status = 0.7, 502
         elif fault.kind == "leave":
             place.node.request_stop()
-            self.leaving.add(asyncio.create_task(place.node.drain()))
+            self.leaving.add(asyncio.create_task(drain.drain(place.node)))
         else:
             self.world.loop.kill(f"target-{name}")
 
--- a/tests/proof/test_promises.py
+++ b/tests/proof/test_promises.py
@@ -17,7 +17,7 @@
 from currantcart.call import allowance
 from currantcart.graph import model as graph_model
 from currantcart.http1 import client, headers
-from currantcart.node import app, gossip, guard, incoming
+from currantcart.node import app, drain, gossip, guard, incoming
 from tests.fakes.world import World
 from tests.proof import histories
 
@@ -180,7 +180,7 @@
     async def leave() -> None:
         await asyncio.sleep(0.5)
         leaving.node.request_stop()
-        await leaving.node.drain()
+        await drain.drain(leaving.node)
         await leaving.node.stop()
 
     async def send() -> list[Any]:
@@ -227,7 +227,7 @@
     )
     await asyncio.sleep(1.0)
     place.node.request_stop()
-    await place.node.drain()
+    await drain.drain(place.node)
     await place.node.stop()
     reply = await upload
     return [] if reply.whole else [f"the upload ended with {reply.code}"]
@@ -237,7 +237,7 @@
     async def at_once(node: app.Node) -> None:
         del node
 
-    patch.setattr(app.Node, "finish_calls", at_once)
+    patch.setattr(drain, "finish_calls", at_once)
 
 
 CASES: list[tuple[Scenario, Break]] = [
