--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -51,6 +51,17 @@
     return ports
 
 
+def wait_port(port: int) -> None:
+    """Waits until something listens on a port."""
+    end = time.monotonic() + READY_SECONDS_MAX
+    while time.monotonic() < end:
+        with socket.socket() as probe:
+            if probe.connect_ex((HOST, port)) == 0:
+                return
+        time.sleep(0.05)
+    raise RuntimeError(f"nothing listens on port {port}")
+
+
 @dataclasses.dataclass
 class Unit:
     """A node and the target beside it.
@@ -100,6 +111,7 @@
         (port,) = free_ports(1)
         self.store = f"{HOST}:{port}"
         self.spawn("store", ["-m", "bench.standins.store", str(port)])
+        wait_port(port)
 
     def plan(
         self,
