Leave no cycles behind a call; check suspects less often; one way to build a call

Timing the collector showed pauses of 5 to 39 ms every few seconds, each freeing about 18,000 objects: a call's stream and the call referred to each other, and each refusal to its own frame. Ruled out: the gossip's ticks (no lag without a collection beside it). Change: a stream drops what it refers to when its call ends, a refusal's frame lets go of it.

--- a/src/currantcart/membership/detector.py
+++ b/src/currantcart/membership/detector.py
@@ -108,9 +108,9 @@
         """Does what is due; to be called several times a period."""
         sending: list[Outgoing] = []
         sending += self.check_probe(now)
-        self.bury_suspects(now)
         if now >= self.next_probe_ms:
             self.next_probe_ms = now + PERIOD_MS
+            self.bury_suspects(now)
             sending += self.start_probe(now)
             sending += self.ping_suspects()
             self.table.forget_dead(now)
--- a/src/currantcart/node/forward.py
+++ b/src/currantcart/node/forward.py
@@ -122,7 +122,12 @@
                     if not retrying:
                         return await self.relay(attempt)
                 elif not self.go_on(refusal, attempts):
-                    raise refusal
+                    try:
+                        raise refusal
+                    finally:
+                        # Its traceback refers to this frame; without this
+                        # each refusal would wait for the garbage collector.
+                        del refusal
             finally:
                 self.end(attempt)
             self.tried.add(attempt.candidate.member.instance)
--- a/src/currantcart/node/intake.py
+++ b/src/currantcart/node/intake.py
@@ -62,6 +62,15 @@
     parent: active.ActiveCall | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """What a request asks of a service."""
+
+    route: graph_model.Route
+    method: str
+    path: str
+
+
 class Intake:
     """The checks of one node."""
 
@@ -96,14 +105,13 @@
                 origin.parent.deadline_ms if origin.parent else None
             ),
         )
-        workspace = view.workspaces[origin.workspace]
-        if origin.parent is None:
-            return self.root_call(
-                workspace, origin, service, route, method, path,
-                deadline_ms, given.get(headers.TRACEPARENT, ""),
-            )  # fmt: skip
-        return self.child_call(
-            workspace, origin.parent, service, route, method, path, deadline_ms
+        return self.build(
+            origin,
+            view.workspaces[origin.workspace],
+            service,
+            Target(route, method, path),
+            deadline_ms=deadline_ms,
+            traceparent=given.get(headers.TRACEPARENT, ""),
         )
 
     def find_origin(
@@ -145,80 +153,60 @@
             )
         return Origin(key.workspace, key.key_id, None)
 
-    def root_call(
+    def build(
         self,
-        workspace: workspace_model.Workspace,
         origin: Origin,
+        workspace: workspace_model.Workspace,
         service: graph_model.Service,
-        route: graph_model.Route,
-        method: str,
-        path: str,
+        target: Target,
+        *,
         deadline_ms: float,
         traceparent: str,
     ) -> call_model.Call:
-        """Builds a root call, which creates the allowance of its chain."""
+        """Builds a call: a root call, or one that inherits from its parent.
+
+        A root call creates the retry allowance of its chain; all below share
+        it, and its importance.
+        """
         call_id = next(self.call_ids)
-        importance = min(route.importance, service.max_importance)
+        parent = origin.parent
+        depth = parent.depth + 1 if parent else 0
+        check_depth(depth)
+        wanted = parent.importance if parent else target.route.importance
+        importance = min(wanted, service.max_importance)
         return call_model.Call(
             call_id=call_id,
-            root_id=call_id,
+            root_id=parent.root_id if parent else call_id,
             service=service.name,
-            method=method,
-            path=path,
+            method=target.method,
+            path=target.path,
             workspace=workspace.name,
             key_id=origin.key_id,
             importance=importance,
-            priority=graph_model.priority(
-                importance, workspace.importance, depth=0
-            ),
-            idempotent=route.idempotent,
-            once=route.once,
-            deadline_ms=deadline_ms,
-            allowance=allowance.Allowance(service.retries),
-            depth=0,
-            parent=None,
-            traceparent=traceparent,
-        )
-
-    def child_call(
-        self,
-        workspace: workspace_model.Workspace,
-        parent: active.ActiveCall,
-        service: graph_model.Service,
-        route: graph_model.Route,
-        method: str,
-        path: str,
-        deadline_ms: float,
-    ) -> call_model.Call:
-        """Builds a call of the target's own; it inherits from its parent."""
-        depth = parent.depth + 1
-        if depth >= graph_model.DEPTH_MAX:
-            raise refuse(
-                errors.Code.TOO_DEEP,
-                errors.Step.GRAPH,
-                f"the chain is {depth + 1} deep, "
-                f"allowed: {graph_model.DEPTH_MAX}",
-            )
-        importance = min(parent.importance, service.max_importance)
-        return call_model.Call(
-            call_id=next(self.call_ids),
-            root_id=parent.root_id,
-            service=service.name,
-            method=method,
-            path=path,
-            workspace=workspace.name,
-            key_id=parent.key_id,
-            importance=importance,
             priority=graph_model.priority(
                 importance, workspace.importance, depth=depth
             ),
-            idempotent=route.idempotent,
-            once=route.once,
+            idempotent=target.route.idempotent,
+            once=target.route.once,
             deadline_ms=deadline_ms,
-            allowance=parent.allowance,
+            allowance=(
+                parent.allowance
+                if parent
+                else allowance.Allowance(service.retries)
+            ),
             depth=depth,
             parent=parent,
-            traceparent=parent.traceparent,
+            traceparent=parent.traceparent if parent else traceparent,
+        )
+
+
+def check_depth(depth: int) -> None:
+    """Refuses a call that is too deep in its chain."""
+    if depth >= graph_model.DEPTH_MAX:
+        raise refuse(
+            errors.Code.TOO_DEEP,
+            errors.Step.GRAPH,
+            f"the chain is {depth + 1} deep, allowed: {graph_model.DEPTH_MAX}",
         )
 
 
--- a/src/currantcart/wire/call_stream.py
+++ b/src/currantcart/wire/call_stream.py
@@ -19,6 +19,11 @@
 Head = messages.Answer | messages.Refuse
 
 
+def drop_message(message: messages.Message) -> None:
+    """Takes the messages of a call that has ended."""
+    del message
+
+
 class CallStream:
     """Head, body and flow control of one call, seen from one side.
 
@@ -123,11 +128,12 @@
         """Ends the call with an error for both reader and writer."""
         if self.error is None:
             self.error = error
+        on_reset = self.on_reset
         self.close()
         self.wake()
         self.wake_sender()
-        if self.on_reset is not None:
-            self.on_reset()
+        if on_reset is not None:
+            on_reset()
 
     async def wait(self) -> None:
         """Waits until something arrives."""
@@ -230,5 +236,12 @@
         self.close()
 
     def close(self) -> None:
-        """Forgets the call on its stream."""
+        """Forgets the call on its stream, and drops what it refers to.
+
+        The call refers back to this stream. Left to the garbage collector,
+        some twenty objects a call pile up, and its pauses of 5 to 40 ms are
+        the slowest calls.
+        """
         self.forget(self.call_number)
+        self.on_reset = None
+        self.send_message = drop_message
--- a/src/currantcart/wire/messages.py
+++ b/src/currantcart/wire/messages.py
@@ -15,6 +15,8 @@
 
 FRAME_BYTES_MAX = 2 * 1024 * 1024
 CHUNK_BYTES_MAX = 64 * 1024
+# A node may hold a stream to each other one; most carry little.
+FIRST_BUFFER_BYTES = 4 * 1024
 Headers: TypeAlias = list[list[str]]
 NUMBER = (int, float)
 
@@ -299,6 +301,7 @@
     return msgpack.Unpacker(
         raw=False,
         max_buffer_size=FRAME_BYTES_MAX,
+        read_size=FIRST_BUFFER_BYTES,
         max_array_len=65_536,
         max_map_len=0,
         max_ext_len=0,
--- a/tests/node/test_app.py
+++ b/tests/node/test_app.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 
 import pytest
 
@@ -81,3 +82,25 @@
     assert {reply.headers.get("Connection") for reply in replies} == {"close"}
     assert (await running).whole
     assert await draining == 0
+
+
+async def test_calls_leave_nothing_to_the_garbage_collector(
+    fleet: World,
+) -> None:
+    """A node serves thousands of calls a second.
+
+    When each leaves objects that refer to each other, the collector stops all
+    calls for up to 40 ms every few seconds, and those are the slowest ones.
+    """
+    calls = 50
+    for _ in range(5):
+        await fleet.call("permits-1", "/grades/a")
+    gc.collect()
+    gc.disable()
+    try:
+        for _ in range(calls):
+            await fleet.call("permits-1", "/grades/a")
+        # The caller's side of the test leaves a few of its own.
+        assert gc.collect() < 10 * calls
+    finally:
+        gc.enable()
