End a long queue of a withdrawn key without nesting; take codes of newer peers

Cause: reading the guard showed that each refused call of a withdrawn key freed its slot inside the refusal of the one before: 990 waiting calls broke off with a RecursionError. A code that this version lacks raised in the relay. Change: freed slots are worked off in a loop; unknown codes and steps of a peer count as internal and wire. Measured: the new test fails before (990 calls waiting) and passes after.

--- a/src/currantcart/errors.py
+++ b/src/currantcart/errors.py
@@ -49,6 +49,14 @@
     NOT_FOUND = "not_found"
     INTERNAL = "internal"
 
+    @classmethod
+    def of(cls, text: str) -> Code:
+        """Returns the code of a text; of an unknown one, `INTERNAL`.
+
+        A peer of a newer version may send codes that this one lacks.
+        """
+        return cls(text) if text in cls._value2member_map_ else cls.INTERNAL
+
 
 class Step(enum.StrEnum):
     """The part of a call's way, or of an operation, where an error arose."""
@@ -71,6 +79,11 @@
     SETTINGS = "settings"
     COMMAND = "command"
 
+    @classmethod
+    def of(cls, text: str) -> Step:
+        """Returns the step of a text; of an unknown one, `WIRE`."""
+        return cls(text) if text in cls._value2member_map_ else cls.WIRE
+
 
 HTTP_STATUS: dict[Code, int] = {
     Code.BAD_REQUEST: 400,
--- a/src/currantcart/node/forward.py
+++ b/src/currantcart/node/forward.py
@@ -245,8 +245,8 @@
         if isinstance(head, messages.Answer):
             return None
         return errors.Refusal(
-            errors.Code(head.code),
-            errors.Step(head.step),
+            errors.Code.of(head.code),
+            errors.Step.of(head.step),
             head.detail,
             not_run=head.not_run and not self.earlier_unknown,
             peer=head.peer,
--- a/src/currantcart/node/guard.py
+++ b/src/currantcart/node/guard.py
@@ -259,16 +259,27 @@
             latency_ms=latency_ms,
             overloaded=overloaded,
         )
-        for dropped in released.dropped:
-            self.drop(dropped)
-        for waiting in released.started:
-            incoming = self.queued.pop(id(waiting))
-            fault = self.check_key(incoming.opening)
-            if fault is None:
-                self.start_later(incoming)
-            else:
-                self.refuse(incoming, fault)
-                self.release(latency_ms=None)
+        open_releases = [released]
+        while open_releases:
+            released = open_releases.pop()
+            for dropped in released.dropped:
+                self.drop(dropped)
+            for waiting in released.started:
+                if not self.start_waiting(self.queued.pop(id(waiting))):
+                    open_releases.append(
+                        self.admission.finish(
+                            self.context.clock.now(), latency_ms=None
+                        )
+                    )
+
+    def start_waiting(self, incoming: incoming_module.Incoming) -> bool:
+        """Runs a call that has waited, unless its key was withdrawn."""
+        fault = self.check_key(incoming.opening)
+        if fault is not None:
+            self.refuse(incoming, fault)
+            return False
+        self.start_later(incoming)
+        return True
 
     async def run(self, incoming: incoming_module.Incoming) -> None:
         """Brings a call to the target and its answer back."""
--- a/tests/node/test_distribute.py
+++ b/tests/node/test_distribute.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import random
 
 import pytest
@@ -166,3 +167,28 @@
     world.store.down = True
     await asyncio.sleep(300)
     assert (await world.call("grades-1", "/grades/a")).whole
+
+
+async def test_long_queue_of_a_withdrawn_key_ends_at_once(
+    world: World,
+) -> None:
+    """A flooding caller's key is withdrawn while all its calls wait.
+
+    Each refused one frees its slot for the next; done one inside the other
+    that broke off in the middle, and the rest waited in vain.
+    """
+    place = await world.start("grades-1", "grades", slots=100, work_ms=500)
+    await world.settle()
+    admission = place.node.guard.admission
+    admission.limit.value = admission.limit.slots = 1.0
+    admission.capacity = 2_000
+    calls = [
+        asyncio.create_task(world.call("grades-1", "/grades/a"))
+        for _ in range(990)
+    ]
+    await asyncio.sleep(0.1)
+    assert admission.queue.size > 950
+    world.configure(without_key(2))
+    replies = await asyncio.gather(*calls)
+    codes = collections.Counter(reply.code for reply in replies)
+    assert codes == {"": 1, "key_unknown": 989}
