Bound callers' connections, and send refused callers on before they fill the node

During a cut of other nodes with 40% of the callers repeating three times at once, one node's 3,900 sockets were gone ("Too many open files" when its guard dialled the target). It accepted nothing for up to 5 s; what waited in the kernel was then read at once and started, though its callers had left a second after sending (request sent at 16.82 s, abandoned 17.82 s, at a target 22.17 s).

Ruled out: a lost cancel and frames held up between nodes (the earlier guesses): the request's way between the nodes took under 2 ms; the wait was before the first node read it.

Change: admission.connections decides. From 40% of the limit a refusal closes its connection, from 75% every answer does and the longest idle are closed; at the limit a new one takes the place of the longest idle. The limit is what the process may open (rendered from the deployment's settings) less files, streams and the target's connections. Gauge caller_connections, counter callers_closed, log connections_crowded/eased.

--- a/src/currantcart/proxy/caller.py
+++ b/src/currantcart/proxy/caller.py
@@ -60,7 +60,7 @@
         """Takes the answer, to be written when it is its turn."""
         self.call = None
         connection = self.connection
-        if connection.server.context.draining:
+        if connection.server.is_last_answer(code):
             self.close = True
         self.answer = b"".join(
             (
@@ -109,7 +109,7 @@
         # uvloop's transports are no subclasses of asyncio's.
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(high=256 * 1024)
-        self.server.connections.add(self)
+        self.server.opened(self)
 
     @property
     def open(self) -> bool:
@@ -227,6 +227,7 @@
         if not self.parser.should_keep_alive():
             exchange.close = True
         self.exchanges.append(exchange)
+        self.server.idle.pop(self, None)
         if self.hosts != 1 or not head.path.startswith("/"):
             exchange.rejection = intake.Rejection(400, "bad_request")
             exchange.close = True
@@ -335,6 +336,8 @@
             self.drop_exchanges()
             self.transport.close()
         else:
+            if not self.exchanges:
+                self.server.idle[self] = None
             self.context.loop.call_soon(self.start_exchanges)
 
     def reject_connection(self, status: int, code: str) -> None:
@@ -385,7 +388,7 @@
         del exc
         self.transport = None
         self.closing = True
-        self.server.connections.discard(self)
+        self.server.closed(self)
         self.drop_exchanges()
 
     def check(self, now: float) -> None:
--- a/src/currantcart/proxy/frontend.py
+++ b/src/currantcart/proxy/frontend.py
@@ -2,16 +2,23 @@
 
 from __future__ import annotations
 
+import itertools
+
+from currantcart.admission import connections as connection_bounds
 from currantcart.catalog import model as catalog_model
 from currantcart.proxy import caller, intake, outbound
 from currantcart.proxy import context as proxy_context
 
+FAILED_STATUS = 300
+
 
 class CallerServer:
     """All connections of callers.
 
     Attributes:
       connections: Those that are open.
+      idle: Those on which nothing runs, the longest idle first.
+      bound: How many may be open.
       held_bytes: Bytes of bodies that are held.
     """
 
@@ -28,6 +35,13 @@
         self.intake = checks
         self.outbound = router
         self.connections: set[caller.CallerConnection] = set()
+        self.idle: dict[caller.CallerConnection, None] = {}
+        self.bound = connection_bounds.ConnectionLimit(
+            connection_bounds.caller_limit(
+                descriptors=context.settings.descriptors, peers=0, slots=0
+            )
+        )
+        self.crowded = False
         self.held_bytes = 0
 
     @property
@@ -40,6 +54,34 @@
         """Returns the protocol for a new connection."""
         return caller.CallerConnection(self)
 
+    def opened(self, connection: caller.CallerConnection) -> None:
+        """Takes a new connection, at the cost of another where none is left.
+
+        Without a free descriptor nothing could be accepted, and the target
+        and the store could not be reached either.
+        """
+        self.connections.add(connection)
+        self.idle[connection] = None
+        if self.bound.is_full(len(self.connections)):
+            self.let_go(next(iter(self.idle)), "full")
+
+    def let_go(self, connection: caller.CallerConnection, cause: str) -> None:
+        """Closes an idle connection for the sake of others."""
+        self.context.counts.add("callers_closed", cause)
+        self.closed(connection)
+        connection.end()
+
+    def closed(self, connection: caller.CallerConnection) -> None:
+        """Takes the end of a connection."""
+        self.connections.discard(connection)
+        self.idle.pop(connection, None)
+
+    def is_last_answer(self, status: int) -> bool:
+        """Tells whether a connection is closed behind an answer."""
+        return self.context.draining or self.bound.closes_after(
+            opened=len(self.connections), failed=status >= FAILED_STATUS
+        )
+
     def hold(self, size: int) -> bool:
         """Counts bytes that are held, if there is room for them."""
         if self.held_bytes + size > self.HELD_BYTES_MAX:
@@ -80,6 +122,21 @@
         now = self.context.now
         for connection in list(self.connections):
             connection.check(now)
+        self.close_surplus()
+
+    def close_surplus(self) -> None:
+        """Closes the longest idle connections where there are too many."""
+        surplus = self.bound.surplus(len(self.connections))
+        if bool(surplus) != self.crowded:
+            self.crowded = bool(surplus)
+            self.context.log.event(
+                "connections_crowded" if surplus else "connections_eased",
+                opened=len(self.connections),
+                idle=len(self.idle),
+                limit=self.bound.limit,
+            )
+        for connection in list(itertools.islice(self.idle, surplus)):
+            self.let_go(connection, "crowded")
 
     def close_idle(self) -> None:
         """Closes the connections on which nothing runs."""
--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 from currantcart import background, errors
+from currantcart.admission import connections
 from currantcart.fleet import target_record
 from currantcart.proxy import (
     config_feed,
@@ -233,6 +234,7 @@
             "peers": lambda: len(self.peers.by_instance),
             "peers_silent_ratio": self.peers.silent_share,
             "calls": lambda: len(self.outbound.calls),
+            "caller_connections": lambda: len(self.callers.connections),
             "running": lambda: queue.running,
             "waiting": lambda: queue.waiting,
             "slots": lambda: queue.slots,
@@ -396,6 +398,11 @@
         now = self.context.now
         self.quotas.set_silent(self.peers.silent_share(), now)
         if self.ticks % SWEEP_TICKS == 0:
+            self.callers.bound.limit = connections.caller_limit(
+                descriptors=self.context.settings.descriptors,
+                peers=len(self.peers.by_instance),
+                slots=self.guard.slot_count,
+            )
             self.callers.sweep()
             self.guard.pool.sweep(now)
 
--- a/src/currantcart/proxy/settings.py
+++ b/src/currantcart/proxy/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pathlib
+from typing import Annotated
 
 import msgspec
 
@@ -63,6 +64,7 @@
       listen: Own addresses.
       store: Address of the platform's store.
       bounds: Times and ratios to keep.
+      descriptors: Files and sockets that the process may open.
     """
 
     instance: str
@@ -73,6 +75,7 @@
     listen: Listen
     store: str
     bounds: Bounds = Bounds()
+    descriptors: Annotated[int, msgspec.Meta(ge=512)] = 4_096
 
 
 def split_address(value: str) -> tuple[str, int]:
--- a/src/currantcart/telemetry/counts.py
+++ b/src/currantcart/telemetry/counts.py
@@ -121,6 +121,7 @@
     ),
     "repeats": ("Requests handed over again, by cause", ["service", "cause"]),
     "guard_refusals": ("Requests refused beside the target", ["code"]),
+    "callers_closed": ("Idle connections closed for others", ["cause"]),
     "store_calls": ("Calls to the store, by result", ["call", "result"]),
     "links_lost": ("Streams to peers that were lost", ["reason"]),
 }
@@ -138,6 +139,7 @@
     "peers": "Peers known",
     "peers_silent_ratio": "Part of the fleet that is not heard",
     "calls": "Requests on their way",
+    "caller_connections": "Connections of callers that are open",
     "running": "Requests at the target",
     "waiting": "Requests that wait for the target",
     "slots": "Requests that the target is given at once",
--- a/tests/proxy/test_callers.py
+++ b/tests/proxy/test_callers.py
@@ -248,3 +248,39 @@
     await mesh.settle(0.1)
     await mesh.ask(place, fake_mesh.request("/inner/1", extra="X-Kept: 2\r\n"))
     assert place.target.seen[0].headers["x-kept"] == "2"
+
+
+async def test_refused_callers_that_come_back_leave_room_for_others(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """Refused callers come back on new connections and keep the old ones.
+
+    Kept for their idle time, they took all descriptors of the process: new
+    callers waited for seconds, and their requests were started after they
+    had left.
+    """
+    place = await served(mesh)
+    limit = place.node.callers.bound.limit = 20
+    for number in range(3 * limit):
+        caller = await mesh.connect(place)
+        caller.send(fake_mesh.request(key="none", request_id=f"r{number}"))
+        assert (await caller.reply()).status == 401
+    assert len(place.node.callers.connections) < limit
+    assert (await mesh.ask(place, fake_mesh.request())).status == 200
+
+
+async def test_an_idle_connection_goes_for_a_new_one_and_a_busy_one_stays(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """All connections that callers may have are open, one of them at work."""
+    place = await served(mesh)
+    place.target.work_seconds = 1.0
+    limit = place.node.callers.bound.limit = 10
+    busy = await mesh.connect(place)
+    busy.send(fake_mesh.request())
+    await mesh.settle(0.1)
+    idle = [await mesh.connect(place) for _ in range(limit + 2)]
+    await mesh.settle(0.1)
+    assert [caller.ended for caller in idle[:4]] == [True] * 3 + [False]
+    assert len(place.node.callers.connections) == limit
+    assert (await busy.reply()).status == 200
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -28,6 +28,8 @@
         word = found.group()
         if "bounds." in word:
             return "2.5"
+        if "limits." in word:
+            return "4100"
         address = "listen." in word or "address" in word or "addr" in word
         return json.dumps("10.0.0.1:80" if address else "x")
 
@@ -38,6 +40,7 @@
     settings = proxy_settings.parse(text.encode(), source="template")
     assert settings.listen.peers == "10.0.0.1:7000"
     assert settings.bounds.revoke_seconds == 2.5
+    assert settings.descriptors == 4_100
 
 
 def test_a_signal_during_the_start_does_not_end_the_process() -> None:
