--- a/bench/reference.py
+++ b/bench/reference.py
@@ -9,9 +9,11 @@
 import pathlib
 import re
 
+import msgspec
 import pydantic
 from pydantic_core import PydanticUndefined
 
+from currantcart.proxy import settings as proxy_settings
 from currantcart.settings import model
 
 PAGE = pathlib.Path(__file__).parents[1] / "docs/reference/settings.md"
@@ -22,6 +24,17 @@
     ("tls", model.Tls),
     ("trace", model.Trace),
 )
+PROXY_SECTIONS: tuple[tuple[str, type[msgspec.Struct]], ...] = (
+    ("", proxy_settings.ProxySettings),
+    ("listen", proxy_settings.Listen),
+    ("bounds", proxy_settings.Bounds),
+)
+PROXY_HEAD = """
+# Settings of a node that a platform starts
+
+For `currantcart proxy`; `currantcart proxy check FILE` checks it. The platform
+renders it from `deploy/settings.json` at each start and change.
+"""
 HEAD = """# Settings of a node
 
 JSON with comments; `currantcart settings check FILE` checks it. An unknown or
@@ -30,7 +43,7 @@
 """
 
 
-def descriptions(section: type[pydantic.BaseModel]) -> dict[str, str]:
+def descriptions(section: type[object]) -> dict[str, str]:
     """Returns the text of each attribute in a model's doc comment."""
     text = inspect.getdoc(section) or ""
     _, _, attributes = text.partition("Attributes:\n")
@@ -42,18 +55,19 @@
     return found
 
 
-def default_of(field: pydantic.fields.FieldInfo) -> str:
+def default_of(default: object) -> str:
     """Returns how a default reads on the page."""
-    if field.default is PydanticUndefined:
+    if default is PydanticUndefined or default is msgspec.NODEFAULT:
         return "required"
-    if isinstance(field.default, pydantic.BaseModel):
+    if isinstance(default, pydantic.BaseModel | msgspec.Struct):
         return "see below"
-    return f"`{field.default}`"
+    return f"`{default}`"
 
 
-def rows(name: str, section: type[pydantic.BaseModel]) -> list[str]:
+def rows(
+    name: str, texts: dict[str, str], defaults: dict[str, object]
+) -> list[str]:
     """Returns the table of one section."""
-    texts = descriptions(section)
     title = f"## `{name}`" if name else "## Top level"
     lines = [
         "",
@@ -62,9 +76,9 @@
         "| field | default | meaning |",
         "| --- | --- | --- |",
     ]
-    for field_name, field in section.model_fields.items():
+    for field_name, default in defaults.items():
         meaning = texts.get(field_name, "")
-        lines.append(f"| `{field_name}` | {default_of(field)} | {meaning} |")
+        lines.append(f"| `{field_name}` | {default_of(default)} | {meaning} |")
     return lines
 
 
@@ -72,7 +86,18 @@
     """Returns the whole page."""
     lines = [HEAD.rstrip("\n")]
     for name, section in SECTIONS:
-        lines += rows(name, section)
+        defaults = {
+            field_name: field.default
+            for field_name, field in section.model_fields.items()
+        }
+        lines += rows(name, descriptions(section), defaults)
+    lines.append(PROXY_HEAD.rstrip("\n"))
+    for name, struct in PROXY_SECTIONS:
+        defaults = {
+            field.name: field.default
+            for field in msgspec.structs.fields(struct)
+        }
+        lines += rows(name, descriptions(struct), defaults)
     return "\n".join(lines) + "\n"
 
 
