--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -7,7 +7,7 @@
 import dataclasses
 from collections.abc import Callable
 
-from currantcart import background, errors
+from currantcart import background
 from currantcart.admission import connections
 from currantcart.fleet import target_record
 from currantcart.proxy import (
@@ -22,6 +22,7 @@
     outbound,
     peers,
     registration,
+    target_reports,
 )
 from currantcart.proxy import context as proxy_context
 from currantcart.proxy import settings as proxy_settings
@@ -30,7 +31,6 @@
 
 TICK_SECONDS = 0.05
 SWEEP_TICKS = 10
-PERSIST_SECONDS_MAX = 0.6
 RESTART_SECONDS = 0.5
 PEER_SECONDS_MAX = 0.25
 LEAVE_MS = 1_900.0
@@ -121,7 +121,7 @@
             hurried=self.quotas.hurried,
         )
         self.outbound.peers = self.peers
-        self.guard.called_pressure = self.outbound.called_pressure
+        self.guard.called_pressure = self.outbound.edge.called_pressure
         self.feed.peers = self.peers
         self.registration = registration.Registration(
             context,
@@ -130,7 +130,7 @@
             member=self.peers.member,
             record=self.record,
             on_members=self.peers.still_named,
-            on_restored=self.record_restored,
+            on_restored=lambda: self.reports.restored(),
             peer_count=lambda: len(self.peers.by_instance),
         )
         self.servers: list[asyncio.Server] = []
@@ -139,6 +139,15 @@
             restart_seconds=RESTART_SECONDS,
             on_failure=self.background_failed,
         )
+        self.reports = target_reports.TargetReports(
+            context,
+            parse=deployment.parse_report,
+            record=self.record,
+            own_guard=self.guard,
+            registration=self.registration,
+            tell=self.peers.tell,
+            hold=self.background.hold,
+        )
         self.stopping = asyncio.Event()
         self.peer_heard = asyncio.Event()
         self.found = asyncio.Event()
@@ -243,75 +252,6 @@
             "log_bytes_dropped": lambda: self.context.log.dropped_bytes,
         }
 
-    async def report(
-        self, request: control.ControlRequest
-    ) -> control.ControlAnswer:
-        """Takes a report of the target."""
-        try:
-            report = self.deployment.parse_report(request.path, request.body)
-        except errors.CurrantcartError as error:
-            self.context.log.event("report_unreadable", detail=error.detail)
-            return control.ControlAnswer(400)
-        if report.service and report.service != self.context.settings.service:
-            self.context.log.event(
-                "report_of_another_service",
-                target=report.target_id,
-                service=report.service,
-            )
-            return control.ControlAnswer(400)
-        await self.take_report(report)
-        return control.ControlAnswer(200, b"{}", "application/json")
-
-    async def take_report(self, report: target_record.Report) -> None:
-        """Believes a report, if it counts, and has the peers know."""
-        before = self.record.last
-        if not self.record.take(report, wall_ms=self.context.clock.wall()):
-            self.context.log.event(
-                "report_passed_over",
-                target=report.target_id,
-                phase=report.phase,
-                born=report.born,
-                sequence=report.sequence,
-            )
-            return
-        last = self.record.last
-        assert last is not None
-        ready = last.phase is target_record.Phase.READY
-        changed = before is None or (
-            (before.target_id, before.born, before.phase)
-            != (last.target_id, last.born, last.phase)
-        )
-        if ready or changed:
-            self.guard.set_target(
-                target_id=last.target_id,
-                slot_count=last.slots if ready else self.guard.slot_count,
-                ready=ready,
-                cold_ms=last.cold_ms,
-                born=last.born,
-            )
-        if not changed:
-            return
-        self.context.log.event(
-            "target_report",
-            target=last.target_id,
-            phase=last.phase,
-            born=last.born,
-            sequence=last.sequence,
-            slots=last.slots,
-        )
-        self.peers.tell()
-        self.registration.dirty = True
-        if not ready:
-            # The word that it leaves must outlive this process, and binds
-            # from the acknowledgement on.
-            await self.persist()
-
-    async def persist(self) -> None:
-        """Writes the entry now, but holds the answer only for so long."""
-        work = self.context.loop.create_task(self.registration.guarded_write())
-        self.background.hold(work)
-        await asyncio.wait([work], timeout=PERSIST_SECONDS_MAX)
-
     # Life.
 
     async def start(self) -> None:
@@ -321,7 +261,7 @@
             (listen.peers, self.peers.accept, 256),
             (listen.callers, self.callers.accept, 1_024),
             (listen.readiness, self.control_of(self.probe), 32),
-            (listen.reports, self.control_of(self.report), 32),
+            (listen.reports, self.control_of(self.reports.answer), 32),
         ]
         if listen.metrics:
             ports.append((listen.metrics, self.control_of(self.metrics), 8))
@@ -352,45 +292,12 @@
     async def find_peers(self) -> None:
         """Reads who is there, and what the process before left."""
         await self.registration.start()
-        first, self.record.first = self.record.first, None
-        if first is not None:
-            await self.take_report(first)
+        await self.reports.take_first()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(PEER_SECONDS_MAX):
                 await self.peer_heard.wait()
         self.found.set()
-        if not self.guard.target_id:
-            self.use_restored()
-
-    def record_restored(self) -> None:
-        """Takes that the process before knew the target to be leaving.
-
-        Reports that were late on their way may have shown it as ready since.
-        """
-        last = self.record.last
-        if last is not None and last.phase is not target_record.Phase.READY:
-            self.guard.refuse_target()
-
-    def use_restored(self) -> None:
-        """Uses the target that the process before knew, until it reports.
-
-        A target reports each second or two; without this its slots would
-        stand empty for that long after each restart of its node.
-        """
-        last = self.record.last
-        if last is None or last.phase is not target_record.Phase.READY:
-            return
-        self.guard.set_target(
-            target_id=last.target_id,
-            slot_count=last.slots,
-            ready=True,
-            cold_ms=0.0,
-            born=last.born,
-        )
-        self.context.log.event(
-            "target_restored", target=last.target_id, slots=last.slots
-        )
-        self.peers.tell()
+        self.reports.use_restored()
 
     async def run_ticks(self) -> None:
         """Does what is due, at a steady pace."""
--- a/src/currantcart/proxy/outbound.py
+++ b/src/currantcart/proxy/outbound.py
@@ -10,7 +10,16 @@
 from currantcart.catalog import model as catalog_model
 from currantcart.proxy import call as call_module
 from currantcart.proxy import context as proxy_context
-from currantcart.proxy import endings, frames, guard, intake, link, peers
+from currantcart.proxy import (
+    edge,
+    endings,
+    frames,
+    guard,
+    intake,
+    link,
+    local_reply,
+    peers,
+)
 from currantcart.routing import picker
 from currantcart.workspace import quota
 
@@ -25,7 +34,6 @@
 A burst passes in some seconds and the callers wait six to ten; they honour up
 to a third of that.
 """
-CALLED_MS = 3_000.0
 PARK_SWEEP_SECONDS = 0.03
 PARK_OF_OBJECTIVE = 0.125
 """Part of the objective for which a request waits while no target is known.
@@ -35,42 +43,12 @@
 """
 
 
-class LocalReply:
-    """Takes the end of a request at the own guard."""
-
-    def __init__(self, outbound: Outbound, call: call_module.Call) -> None:
-        self.outbound = outbound
-        self.call = call
-
-    def answered(self, status: int, head: bytes, body: bytes) -> None:
-        """Takes the target's whole answer."""
-        if self.call.local is self:
-            self.outbound.answered(self.call, status, head, body)
-
-    def refused(
-        self, code: str, *, at_target: bool, retry_after_ms: float
-    ) -> None:
-        """Takes that the request did not run and never will."""
-        if self.call.local is self:
-            self.outbound.refused(
-                self.call,
-                code,
-                at_target=at_target,
-                retry_after_ms=retry_after_ms,
-            )
-
-    def lost(self, code: str) -> None:
-        """Takes that the outcome is unknown."""
-        if self.call.local is self:
-            self.outbound.lost(self.call, code)
-
-
 class Outbound:
     """Routes the requests of this node's callers.
 
     Attributes:
       calls: Requests on their way.
-      called: Services that the own target calls, and when it did last.
+      edge: Sheds requests for which there is no room below.
       parked: Those that wait for a target to become known.
     """
 
@@ -94,8 +72,7 @@
         self.budgets: dict[str, budget.RetryBudget] = {}
         self.calls: set[call_module.Call] = set()
         self.parked: list[call_module.Call] = []
-        self.called: dict[str, float] = {}
-        self.shedder = pressure.Shedder(context.rng)
+        self.edge = edge.Edge(context, pressure_on=self.pressure_on)
         self.park_timer: asyncio.TimerHandle | None = None
 
     # Taking a request.
@@ -118,8 +95,10 @@
             self.finish(call, 504, "deadline_exceeded")
             return None
         if request.internal:
-            self.called[service] = now
-        elif self.is_shed(call, now):
+            self.edge.note_called(service)
+        elif by := self.edge.shed_by(call):
+            call.retry_after_ms = intake.spread(SHED_RETRY_MS, self.context.rng)
+            self.finish(call, 503, f"shed_for_{by}")
             return None
         self.budget_of(service).note_request(now)
         call.timer = self.context.loop.call_later(
@@ -128,38 +107,10 @@
         self.dispatch(call)
         return None if call.done else call
 
-    def is_shed(self, call: call_module.Call, now: float) -> bool:
-        """Refuses a root request for which there will be no room below."""
+    def pressure_on(self, service: str) -> pressure.Pressure:
+        """Returns how full a service and those below it are."""
         assert self.peers is not None
-        request = call.request
-        call.levels = self.peers.pressure_on(call.service)
-        if not call.levels:
-            return False
-        by = self.shedder.shed_by(
-            route=request.route.name,
-            service=call.service,
-            rank=request.priority,
-            levels=call.levels,
-            now=now,
-        )
-        if not by:
-            return False
-        call.retry_after_ms = intake.spread(SHED_RETRY_MS, self.context.rng)
-        self.finish(call, 503, f"shed_for_{by}")
-        return True
-
-    def called_pressure(self) -> pressure.Pressure:
-        """Returns how full the services are that the own target calls."""
-        assert self.peers is not None
-        recent = self.context.now - CALLED_MS
-        own = self.context.settings.service
-        levels = pressure.strongest(
-            self.peers.pressure_on(service)
-            for service, at in self.called.items()
-            if at > recent and service != own
-        )
-        levels.pop(own, None)
-        return levels
+        return self.peers.reach.pressure_on(service)
 
     def budget_of(self, service: str) -> budget.RetryBudget:
         """Returns the retry budget of a service."""
@@ -181,7 +132,7 @@
         now = self.context.now
         if call.service == self.peers.own.service:
             self.refresh_own()
-        targets = self.peers.candidates(call.service)
+        targets = self.peers.reach.candidates(call.service)
         chosen = self.picker.choose(
             targets, now=now, passed_over=call.passed_over
         )
@@ -255,7 +206,7 @@
     def hand_to_own(self, call: call_module.Call, now: float) -> None:
         """Hands a request to the own guard."""
         self.step(call, attempt.Event.HAND_OVER)
-        reply = call.local = LocalReply(self, call)
+        reply = call.local = local_reply.LocalReply(self, call)
         opening = self.opening(call, 0, now)
         job = self.guard.arrive(
             opening, expires_at=now + opening.left_ms, reply=reply
@@ -350,13 +301,7 @@
         endings.count_end(self.context, call, f"{status // 100}xx")
         self.leave_target(call, failed=status >= 500)
         self.end(call)
-        if call.levels:
-            self.shedder.note_end(
-                route=call.request.route.name,
-                levels=call.levels,
-                failed=status >= 500,
-                now=self.context.now,
-            )
+        self.edge.note_end(call, failed=status >= 500)
         if status >= 500:
             self.tell_end(call, "target_failed", status)
         else:
--- a/src/currantcart/proxy/peers.py
+++ b/src/currantcart/proxy/peers.py
@@ -6,9 +6,8 @@
 import dataclasses
 from collections.abc import Callable, Iterable
 
-from currantcart.admission import pressure
 from currantcart.proxy import context as proxy_context
-from currantcart.proxy import frames, link
+from currantcart.proxy import frames, link, reach
 from currantcart.proxy import settings as proxy_settings
 from currantcart.routing import picker
 
@@ -27,20 +26,6 @@
 DIAL_SECONDS_MAX = 0.7
 REDIAL_MS = 300.0
 GONE_MS = 12_000.0
-PRESSURE_MS = 40.0
-REACHED_MS = 25.0
-CANDIDATES_ALL = 8
-CANDIDATES_NEAR = 5
-CANDIDATES_FAR = 3
-"""Targets that are weighed for one request of a large service.
-
-The least loaded of a few drawn is nearly as good as the least of all, and
-nodes that all know the same least one don't send it everything.
-"""
-FORWARDED = 0.9
-"""Part of a level that is left when a service that nobody here reaches is
-passed on; it makes a level that goes in a circle die out.
-"""
 
 
 @dataclasses.dataclass(slots=True)
@@ -78,6 +63,7 @@
       by_instance: Peers by instance.
       by_service: Targets of each service, the own one included.
       own: The own target, as the router sees it.
+      reach: Which targets can be reached now, and how full they are.
       left: Targets that were said to leave, by the instance beside them.
     """
 
@@ -122,8 +108,12 @@
         self.told_at = 0.0
         self.hurried_at = 0.0
         self.left: dict[str, tuple[str, int]] = {}
-        self.pressures: dict[str, tuple[float, pressure.Pressure]] = {}
-        self.reached: dict[str, tuple[float, list[picker.Target]]] = {}
+        self.reach = reach.Reach(
+            context,
+            own=self.own,
+            by_service=self.by_service,
+            is_usable=lambda instance: self.link_to(instance) is not None,
+        )
 
     # Members.
 
@@ -239,7 +229,7 @@
 
     def link_ready(self, item: link.Link) -> None:
         """Takes the introduction on a stream."""
-        self.reached.clear()
+        self.reach.forget()
         assert item.peer is not None
         peer = self.learn(item.peer)
         if peer is None:
@@ -268,7 +258,7 @@
 
     def link_lost(self, item: link.Link) -> None:
         """Takes the end of a stream."""
-        self.reached.clear()
+        self.reach.forget()
         self.accepted.discard(item)
         for peer in self.by_instance.values():
             if peer.outgoing is item:
@@ -297,7 +287,7 @@
     ) -> None:
         """Takes a target's state."""
         if known.target_id != told.target_id or known.ready != told.ready:
-            self.reached.clear()
+            self.reach.forget()
             self.context.log.event(
                 "target_state",
                 peer=known.instance,
@@ -334,73 +324,6 @@
             return None
         return peer.outgoing if peer.outgoing.usable(self.context.now) else None
 
-    def reachable(self, service: str) -> list[picker.Target]:
-        """Returns the targets of a service that can be reached now.
-
-        The list is kept for some milliseconds, unless a target or a stream
-        changes: going through thirty streams for each request costs more
-        than routing it.
-        """
-        now = self.context.now
-        at, kept = self.reached.get(service, (0.0, []))
-        if now - at < REACHED_MS:
-            return kept
-        found = [
-            target
-            for target in self.by_service.get(service, ())
-            if target is self.own
-            or (target.ready and self.link_to(target.instance) is not None)
-        ]
-        self.reached[service] = (now, found)
-        return found
-
-    def candidates(self, service: str) -> list[picker.Target]:
-        """Returns the targets to choose from: those near, and some others."""
-        found = self.reachable(service)
-        if len(found) <= CANDIDATES_ALL:
-            return found
-        domain = self.member.failure_domain
-        near = [item for item in found if item.failure_domain == domain]
-        far = [item for item in found if item.failure_domain != domain]
-        rng = self.context.rng
-        return (
-            rng.sample(near, min(len(near), CANDIDATES_NEAR))
-            + rng.sample(far, min(len(far), CANDIDATES_FAR))
-            + ([self.own] if service == self.member.service else [])
-        )
-
-    def pressure_on(self, service: str) -> pressure.Pressure:
-        """Returns how full a service and those it calls are."""
-        now = self.context.now
-        at, levels = self.pressures.get(service, (0.0, {}))
-        if now - at < PRESSURE_MS:
-            return levels
-        levels = {}
-        for name, level in self.told_levels(service).items():
-            direct = level if name == service else self.own_level(name)
-            heard = level * FORWARDED if direct is None else direct
-            if heard >= pressure.LEAST:
-                levels[name] = heard
-        self.pressures[service] = (now, levels)
-        return levels
-
-    def own_level(self, service: str) -> float | None:
-        """Returns what a service's targets say of themselves, if any do.
-
-        It goes before what others pass on: where services call each other in
-        a circle, a level that is passed on would come back and never fall.
-        """
-        if not self.reachable(service):
-            return None
-        return self.told_levels(service).get(service, 0.0)
-
-    def told_levels(self, service: str) -> pressure.Pressure:
-        """Returns the levels that a service's targets tell, as a mean."""
-        return pressure.mean(
-            (target.limit, target.pressure)
-            for target in self.reachable(service)
-        )
-
     def introduced(self) -> list[link.Link]:
         """Returns one stream to each peer that has introduced itself."""
         streams = [
