--- a/src/currantcart/node/admin.py
+++ b/src/currantcart/node/admin.py
@@ -3,28 +3,43 @@
 from __future__ import annotations
 
 import dataclasses
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from aiohttp import web
 
-if TYPE_CHECKING:
-    from currantcart.node import app
+from currantcart.membership import table
+from currantcart.node import context as node_context
+from currantcart.node import distribute, gossip, guard
 
 
-def status_of(node: app.Node) -> dict[str, object]:
+class Shown(Protocol):
+    """A node as this page shows it."""
+
+    context: node_context.NodeContext
+    guard: guard.Guard
+    members: table.MemberTable
+    distributor: distribute.Distributor
+    gossip: gossip.Gossip
+
+    def is_ready(self) -> bool:
+        """Tells whether the node serves."""
+
+
+def status_of(node: Shown) -> dict[str, object]:
     """Returns the state of a node as people ask for it."""
-    context, guard = node.context, node.guard
+    context, admission = node.context, node.guard.admission
+    pool = node.guard.pool
     now = context.clock.now()
     return {
         "instance": context.instance,
         "draining": context.draining,
         "revision": context.config.revision,
         "service": context.settings.target.service,
-        "running": guard.admission.running,
-        "waiting": guard.admission.queue.size,
-        "limit": guard.admission.limit.value,
-        "shed_level": guard.admission.shed_level(now),
-        "connections": guard.pool.leased + len(guard.pool.idle),
+        "running": admission.running,
+        "waiting": admission.queue.size,
+        "limit": admission.limit.value,
+        "shed_level": admission.shed_level(now),
+        "connections": pool.leased + len(pool.idle),
         "store_calls": node.distributor.store_calls,
         "gossip_bytes": node.gossip.bytes_sent,
         "members": [
@@ -42,7 +57,7 @@
     }
 
 
-def build_app(node: app.Node) -> web.Application:
+def build_app(node: Shown) -> web.Application:
     """Returns the admin application."""
 
     async def metrics(request: web.Request) -> web.Response:
--- a/src/currantcart/node/dispatch.py
+++ b/src/currantcart/node/dispatch.py
@@ -3,23 +3,48 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from multidict import CIMultiDict
 
 from currantcart import errors
 from currantcart.admission import controller
 from currantcart.http1 import client, headers
+from currantcart.node import context as node_context
 from currantcart.node import incoming as incoming_module
 from currantcart.telemetry import record
 from currantcart.wire import messages
 
-if TYPE_CHECKING:
-    from currantcart.node import guard as guard_module
-
 OVERLOAD_STATUSES = frozenset({429, 503})
 
 
+class TargetGuard(Protocol):
+    """The guard on whose behalf a call is at the target."""
+
+    context: node_context.NodeContext
+    host: str
+    pool: client.TargetPool
+    admission: controller.AdmissionController
+
+    @property
+    def load(self) -> int:
+        """Calls running and waiting."""
+
+    def refuse(
+        self, incoming: incoming_module.Incoming, fault: errors.Refusal
+    ) -> None:
+        """Sends a refusal up."""
+
+    def note(
+        self,
+        event: record.Event,
+        incoming: incoming_module.Incoming,
+        *,
+        detail: str = "",
+    ) -> None:
+        """Records a decision on a call."""
+
+
 class Dispatch:
     """One call at the target.
 
@@ -32,7 +57,7 @@
     """
 
     def __init__(
-        self, guard: guard_module.Guard, incoming: incoming_module.Incoming
+        self, guard: TargetGuard, incoming: incoming_module.Incoming
     ) -> None:
         self.guard = guard
         self.incoming = incoming
--- a/src/currantcart/node/distribute.py
+++ b/src/currantcart/node/distribute.py
@@ -15,7 +15,7 @@
 from currantcart.node import context as node_context
 from currantcart.node import links as node_links
 from currantcart.store import port
-from currantcart.wire import connection, messages
+from currantcart.wire import codec, connection, messages
 
 WATCHERS_PER_DOMAIN = 2
 WATCH_MS = 5_000.0
@@ -129,7 +129,7 @@
                 for fields in message.members
             ]
         except ValueError as error:
-            raise messages.invalid(str(error)) from error
+            raise codec.invalid(str(error)) from error
         self.members.merge_table(members, self.context.clock.now())
 
     def state(self, revision: int) -> messages.State:
--- a/src/currantcart/node/forward.py
+++ b/src/currantcart/node/forward.py
@@ -5,8 +5,6 @@
 import dataclasses
 from collections.abc import Callable
 
-from multidict import CIMultiDict
-
 from currantcart import eager, errors
 from currantcart.call import model as call_model
 from currantcart.call import retry
@@ -14,7 +12,7 @@
 from currantcart.http1 import headers, server
 from currantcart.membership import model as membership_model
 from currantcart.node import context as node_context
-from currantcart.node import learning, upload
+from currantcart.node import learning, relay, upload
 from currantcart.node import links as node_links
 from currantcart.routing import router
 from currantcart.telemetry import record
@@ -309,38 +307,10 @@
         answer, stream = attempt.head, attempt.stream
         assert isinstance(answer, messages.Answer)
         assert stream is not None
-        fields = answer_headers(answer, self.call)
-        if stream.at_end or answer.last:
-            await self.exchange.start(
-                answer.status, fields, whole=stream.read_nowait()
-            )
-            whole = answer.chunk if self.call.method != "HEAD" else b""
-            await self.exchange.finish(whole)
-        else:
-            await self.relay_stream(answer, stream, fields)
+        await relay.relay(self.exchange, self.call, answer, stream)
         self.note(record.Event.ANSWERED, "", detail=str(answer.status))
         return answer
 
-    async def relay_stream(
-        self,
-        answer: messages.Answer,
-        stream: call_stream.CallStream,
-        fields: CIMultiDict[str],
-    ) -> None:
-        """Passes a streamed answer on as fast as the caller takes it."""
-        await self.exchange.start(answer.status, fields, whole=None)
-        try:
-            while not stream.at_end:
-                chunk = await stream.read()
-                if chunk:
-                    await self.exchange.write(chunk)
-        except errors.StreamError:
-            # The head is out already; a cut connection is the only sign
-            # that this is not the whole answer.
-            self.exchange.abort()
-            return
-        await self.exchange.finish()
-
     def end(self, attempt: Attempt) -> None:
         """Gives back what an attempt held."""
         attempt.candidate.in_flight -= 1
@@ -360,12 +330,3 @@
             peer=peer,
             detail=detail,
         )
-
-
-def answer_headers(
-    answer: messages.Answer, call: call_model.Call
-) -> CIMultiDict[str]:
-    """Returns the headers of an answer for the caller."""
-    fields = headers.to_multidict(answer.headers)
-    fields[headers.CALL_ID] = call.call_id
-    return fields
--- a/src/currantcart/node/guard.py
+++ b/src/currantcart/node/guard.py
@@ -5,12 +5,10 @@
 import asyncio
 
 from currantcart import eager, errors
-from currantcart.admission import controller, queue
-from currantcart.call import active, allowance
-from currantcart.graph import model as graph_model
+from currantcart.admission import controller
 from currantcart.http1 import client
+from currantcart.node import arrival, dispatch
 from currantcart.node import context as node_context
-from currantcart.node import dispatch
 from currantcart.node import incoming as incoming_module
 from currantcart.settings import model as settings_model
 from currantcart.telemetry import record
@@ -54,8 +52,8 @@
     ) -> None:
         """Takes a call: runs it, lets it wait, or refuses it at once."""
         now = self.context.clock.now()
-        incoming = self.build(opening, stream, now)
-        fault = self.precheck(opening)
+        incoming = arrival.build(self.context, opening, stream, now)
+        fault = arrival.precheck(self.context, opening)
         if fault is not None:
             self.refuse(incoming, fault)
             return
@@ -70,85 +68,6 @@
             assert offer.reason is not None
             self.shed(incoming, offer.reason)
 
-    def build(
-        self,
-        opening: messages.Open,
-        stream: call_stream.CallStream,
-        now: float,
-    ) -> incoming_module.Incoming:
-        """Builds the state of a call from its opening message."""
-        deadline_ms = now + opening.remaining_ms
-        hop = self.context.tracing.begin("target", opening.traceparent)
-        return incoming_module.Incoming(
-            opening=opening,
-            stream=stream,
-            waiting=queue.Waiting(
-                call_id=opening.call_id,
-                workspace=opening.workspace,
-                priority=opening.priority,
-                deadline_ms=deadline_ms,
-                arrived_ms=now,
-            ),
-            call=active.ActiveCall(
-                call_id=opening.call_id,
-                root_id=opening.root_id,
-                service=opening.service,
-                workspace=opening.workspace,
-                key_id=opening.key_id,
-                importance=graph_model.Importance(opening.importance),
-                priority=opening.priority,
-                deadline_ms=deadline_ms,
-                allowance=allowance.Allowance(opening.allowance),
-                depth=opening.depth,
-                traceparent=hop.traceparent if hop else opening.traceparent,
-            ),
-            hop=hop,
-        )
-
-    def precheck(self, opening: messages.Open) -> errors.Refusal | None:
-        """Checks what the sender's stale view may have missed."""
-        settings = self.context.settings
-        if self.context.draining:
-            return incoming_module.refusal(
-                errors.Code.DRAINING,
-                errors.Step.ADMIT,
-                "this target is leaving",
-                not_run=True,
-                retry_after_ms=controller.RETRY_AFTER_MS_MIN,
-            )
-        if opening.service != settings.target.service:
-            return incoming_module.refusal(
-                errors.Code.NO_TARGET,
-                errors.Step.ADMIT,
-                f"this target serves {settings.target.service}",
-                not_run=True,
-            )
-        return self.check_key(opening)
-
-    def check_key(self, opening: messages.Open) -> errors.Refusal | None:
-        """Checks that the key of the root call is still in force here.
-
-        The node that took the call may not have heard of a withdrawal yet,
-        and a call may have waited in the queue while it came.
-        """
-        view = self.context.config.view
-        if view is None:
-            return incoming_module.refusal(
-                errors.Code.NOT_READY,
-                errors.Step.ADMIT,
-                "this node has no configuration yet",
-                not_run=True,
-                retry_after_ms=controller.RETRY_AFTER_MS_MIN,
-            )
-        if opening.key_id in view.key_ids:
-            return None
-        return incoming_module.refusal(
-            errors.Code.KEY_UNKNOWN,
-            errors.Step.ADMIT,
-            "the key was withdrawn",
-            not_run=True,
-        )
-
     def wait(self, incoming: incoming_module.Incoming) -> None:
         """Keeps a call until a slot is free or its time is over."""
         self.queued[id(incoming.waiting)] = incoming
@@ -273,7 +192,7 @@
 
     def start_waiting(self, incoming: incoming_module.Incoming) -> bool:
         """Runs a call that has waited, unless its key was withdrawn."""
-        fault = self.check_key(incoming.opening)
+        fault = arrival.check_key(self.context, incoming.opening)
         if fault is not None:
             self.refuse(incoming, fault)
             return False
--- a/src/currantcart/wire/connection.py
+++ b/src/currantcart/wire/connection.py
@@ -6,7 +6,7 @@
 from typing import Protocol, cast
 
 from currantcart import errors
-from currantcart.wire import call_stream, handshake, messages
+from currantcart.wire import call_stream, codec, handshake, messages
 
 HANDSHAKE_SECONDS_MAX = 5.0
 CALLS_MAX = 65_536
@@ -58,7 +58,7 @@
         self.handshake = shake
         self.loop = loop
         self.calls: dict[int, call_stream.CallStream] = {}
-        self.frames = messages.FrameReader()
+        self.frames = codec.FrameReader()
         self.transport: asyncio.Transport | None = None
         self.ready: asyncio.Future[None] = loop.create_future()
         dialer = shake.role is handshake.Role.DIALER
@@ -87,7 +87,7 @@
     def send(self, message: messages.Message) -> None:
         """Sends a message; a stream that is gone drops it."""
         if self.transport is not None and not self.transport.is_closing():
-            self.transport.write(messages.encode(message))
+            self.transport.write(codec.encode(message))
 
     def data_received(self, data: bytes) -> None:
         """Decodes what arrived; a bad frame ends this stream only."""
@@ -97,7 +97,7 @@
         except errors.StreamError as error:
             self.abort(error)
         except ValueError as error:
-            self.abort(messages.invalid(str(error)))
+            self.abort(codec.invalid(str(error)))
 
     def receive(self, message: messages.Message) -> None:
         """Takes one message."""
--- a/tests/proof/test_promises.py
+++ b/tests/proof/test_promises.py
@@ -17,7 +17,7 @@
 from currantcart.call import allowance
 from currantcart.graph import model as graph_model
 from currantcart.http1 import client, headers
-from currantcart.node import app, drain, gossip, guard, incoming
+from currantcart.node import app, arrival, drain, gossip, incoming
 from tests.fakes.world import World
 from tests.proof import histories
 
@@ -214,7 +214,7 @@
 
 def leave_without_a_word(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(gossip.Gossip, "announce", lambda self: None)
-    patch.setattr(guard.Guard, "precheck", guard.Guard.check_key)
+    patch.setattr(arrival, "precheck", arrival.check_key)
 
 
 async def upload_over_a_shutdown(world: World) -> list[str]:
--- a/tests/wire/test_messages.py
+++ b/tests/wire/test_codec.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from currantcart import errors
-from currantcart.wire import messages
+from currantcart.wire import codec, messages
 
 CODES = (errors.Code.FRAME_INVALID, errors.Code.FRAME_TOO_LARGE)
 VALUES = st.recursive(
@@ -36,16 +36,16 @@
 @pytest.mark.parametrize("kind", sorted(messages.CLASSES))
 def test_every_message_survives_the_wire(kind: int) -> None:
     message = sample(kind)
-    reader = messages.FrameReader()
-    assert list(reader.feed(messages.encode(message))) == [message]
+    reader = codec.FrameReader()
+    assert list(reader.feed(codec.encode(message))) == [message]
 
 
 @given(st.lists(st.integers(1, 12), min_size=1, max_size=8), st.integers(1, 9))
 def test_frames_survive_any_cut(kinds: list[int], size: int) -> None:
     """TCP hands over bytes in pieces of any size."""
     sent = [sample(kind) for kind in kinds]
-    data = b"".join(map(messages.encode, sent))
-    reader = messages.FrameReader()
+    data = b"".join(map(codec.encode, sent))
+    reader = codec.FrameReader()
     got: list[messages.Message] = []
     for start in range(0, len(data), size):
         got += reader.feed(data[start : start + size])
@@ -55,7 +55,7 @@
 
 def test_too_large_frame_is_refused_before_it_is_here() -> None:
     """A peer announces a frame of four gigabytes and sends it slowly."""
-    reader = messages.FrameReader()
+    reader = codec.FrameReader()
     with pytest.raises(errors.StreamError) as caught:
         list(reader.feed(b"\xff\xff\xff\xff"))
     assert caught.value.code is errors.Code.FRAME_TOO_LARGE
@@ -64,7 +64,7 @@
 @given(VALUES)
 def test_any_value_decodes_or_gives_a_coded_error(value: object) -> None:
     try:
-        messages.decode(value)
+        codec.decode(value)
     except errors.StreamError as error:
         assert error.code is errors.Code.FRAME_INVALID
 
@@ -74,7 +74,7 @@
     kind: int, fields: list[object]
 ) -> None:
     try:
-        messages.decode([kind, *fields])
+        codec.decode([kind, *fields])
     except errors.StreamError as error:
         assert error.code is errors.Code.FRAME_INVALID
 
@@ -82,7 +82,7 @@
 @given(st.binary(max_size=200))
 def test_any_bytes_end_in_bounded_time(data: bytes) -> None:
     try:
-        list(messages.FrameReader().feed(data))
-        messages.decode(messages.unpack(data))
+        list(codec.FrameReader().feed(data))
+        codec.decode(codec.unpack(data))
     except errors.StreamError as error:
         assert error.code in CODES
--- a/tests/wire/test_connection.py
+++ b/tests/wire/test_connection.py
@@ -8,7 +8,7 @@
 import pytest
 
 from currantcart.settings import model as settings_model
-from currantcart.wire import handshake, messages
+from currantcart.wire import codec, handshake, messages
 from tests.fakes.world import SECRET, World
 
 CALL = messages.Open(
@@ -19,7 +19,7 @@
 
 def frame(packed: bytes) -> bytes:
     """Returns packed bytes as a frame."""
-    return messages.LENGTH.pack(len(packed)) + packed
+    return codec.LENGTH.pack(len(packed)) + packed
 
 
 async def dial(
@@ -35,11 +35,11 @@
         instance="stranger",
         fleet_secret=secret.encode(),
     )
-    writer.write(messages.encode(shake.hello()))
-    (hello,) = messages.FrameReader().feed(await reader.read(4_096))
+    writer.write(codec.encode(shake.hello()))
+    (hello,) = codec.FrameReader().feed(await reader.read(4_096))
     proof = shake.receive(hello)
     assert proof is not None
-    writer.write(messages.encode(proof))
+    writer.write(codec.encode(proof))
     return reader, writer
 
 
@@ -56,11 +56,11 @@
         frame(msgpack.packb({"kind": 1})),
         frame(msgpack.packb((99, 1))),
         frame(msgpack.packb((1, 2, 3))),
-        messages.encode(messages.Hello(1, 1, "again", b"n" * 16)),
-        messages.encode(CALL) + messages.encode(CALL),
-        messages.encode(CALL)
+        codec.encode(messages.Hello(1, 1, "again", b"n" * 16)),
+        codec.encode(CALL) + codec.encode(CALL),
+        codec.encode(CALL)
         + b"".join(
-            messages.encode(messages.Data(1, b"x" * 60_000, False))
+            codec.encode(messages.Data(1, b"x" * 60_000, False))
             for _ in range(10)
         ),
         frame(b"\xdd\xff\xff\xff\xff"),
@@ -88,7 +88,7 @@
     await world.start("grades-1", "grades")
     await world.settle()
     reader, writer = await dial(world, secret="another secret, long enough")
-    writer.write(messages.encode(messages.Fetch(0)))
+    writer.write(codec.encode(messages.Fetch(0)))
     assert await rest(reader) == b""
     assert world.history("grades") == []
 
