--- a/tests/proxy/test_node.py
+++ b/tests/proxy/test_node.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import json
+
 import pytest
 
+from currantcart.platform import names
 from currantcart.store import leased, port
 from tests.fakes import mesh as fake_mesh
 
@@ -183,3 +186,38 @@
     assert await mesh.report(back, sequence=2) == 200
     assert (await mesh.ask(back, fake_mesh.request())).status == 503
     assert not back.target.seen
+
+
+@pytest.mark.parametrize(
+    "value",
+    [b"\xff\x00", b"{}", b'{"member": 7}', b'{"member": {"instance": 1}}'],
+)
+async def test_an_entry_that_another_writer_spoilt_is_left_out(
+    mesh: fake_mesh.Mesh, value: bytes
+) -> None:
+    """One entry that can't be read must not hide the others."""
+    mesh.store.operate(f"{names.NODES_PREFIX}spoilt", value)
+    front = await mesh.add("a", service="other")
+    await mesh.add("b")
+    await mesh.settle()
+    assert (await mesh.ask(front, fake_mesh.request())).status == 200
+    told = [line for line in mesh.lines if "event=entry_unreadable" in line]
+    assert f"key={names.NODES_PREFIX}spoilt" in told[0]
+
+
+async def test_fields_that_are_new_in_an_entry_are_read_past(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """A newer node writes more than this one knows."""
+    front = await mesh.add("a", service="other")
+    back = await mesh.add("b")
+    await mesh.settle()
+    key = f"{names.NODES_PREFIX}b"
+    entry = json.loads(mesh.store.items[key][0].value)
+    mesh.store.operate(key, json.dumps({**entry, "colour": "red"}).encode())
+    for place in (front, back):
+        mesh.kill(place)
+    for place in (front, back):
+        await mesh.restart(place)
+    await mesh.settle(0.6)
+    assert (await mesh.ask(front, fake_mesh.request())).status == 200
