Tell refused callers to return while their answer still counts

Cause: a 429 named the time of the next token, some tens of milliseconds, so all that were refused came back into the same surplus and spent their one return there; a request that was shed was told 1.2 s, by which its answer misses an objective of 300 to 1,500 ms.

--- a/src/currantcart/proxy/intake.py
+++ b/src/currantcart/proxy/intake.py
@@ -9,7 +9,7 @@
 import dataclasses
 import random
 
-from currantcart.admission import slots
+from currantcart.admission import returns, slots
 from currantcart.catalog import model as catalog_model
 from currantcart.fleet import freshness
 from currantcart.proxy import dialect
@@ -18,7 +18,6 @@
 STALE_MS = 3_000.0
 """Age of the configuration beyond which a missing route proves nothing."""
 NOT_READY_RETRY_MS = 500.0
-QUOTA_RETRY_MAX_MS = 2_000.0
 RANKS_MAX = 16
 
 
@@ -168,7 +167,13 @@
             internal=internal,
         )
         if catalog.keyed and not internal:
-            found = self.workspace_of(head, catalog, known, now)
+            found = self.workspace_of(
+                head,
+                catalog,
+                known,
+                objective_ms=route.objective_ms,
+                now=now,
+            )
             if isinstance(found, Rejection):
                 return found
             request.workspace = found.name
@@ -182,6 +187,8 @@
         head: RequestHead,
         catalog: catalog_model.Catalog,
         known: freshness.Freshness,
+        *,
+        objective_ms: float,
         now: float,
     ) -> catalog_model.Workspace | Rejection:
         """Finds the workspace of a key, and takes a token of its rate."""
@@ -196,7 +203,9 @@
             return NOT_READY
         wait_ms = self.quotas.admit(found.name, now)
         if wait_ms:
-            after = min(QUOTA_RETRY_MAX_MS, wait_ms)
+            after = returns.return_after_ms(
+                objective_ms=objective_ms, least_ms=wait_ms
+            )
             return Rejection(429, "rate_exceeded", after)
         return found
 
--- a/src/currantcart/proxy/outbound.py
+++ b/src/currantcart/proxy/outbound.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
-from currantcart.admission import pressure
+from currantcart.admission import pressure, returns
 from currantcart.call import attempt, budget
 from currantcart.catalog import model as catalog_model
 from currantcart.proxy import call as call_module
@@ -28,12 +28,6 @@
 RETURN_MARGIN_MS = 25.0
 """Taken off the time that a target gets, for its answer's way back."""
 UNREADY_RETRY_MS = 400.0
-SHED_RETRY_MS = 1_200.0
-"""When a request that was shed may come back.
-
-A burst passes in some seconds and the callers wait six to ten; they honour up
-to a third of that.
-"""
 PARK_SWEEP_SECONDS = 0.03
 PARK_OF_OBJECTIVE = 0.125
 """Part of the objective for which a request waits while no target is known.
@@ -97,7 +91,10 @@
         if request.internal:
             self.edge.note_called(service)
         elif by := self.edge.shed_by(call):
-            call.retry_after_ms = intake.spread(SHED_RETRY_MS, self.context.rng)
+            after = returns.return_after_ms(
+                objective_ms=request.route.objective_ms
+            )
+            call.retry_after_ms = intake.spread(after, self.context.rng)
             self.finish(call, 503, f"shed_for_{by}")
             return None
         self.budget_of(service).note_request(now)
