Give no new call to a peer that owes a sign of life

Ruled out: the target itself (no answer of it was late), the store, a lost cancel.

Change: a stream with calls on it and 0.12 s without a byte asks with a status, which the peer answers at once; without an answer in 0.2 s the peer is quiet, and Reach leaves it out while others can be reached. Steady statuses count as questions too, so an idle stream that has died is known before its first use. No stream is cut sooner than before.

--- a/src/currantcart/proxy/link.py
+++ b/src/currantcart/proxy/link.py
@@ -27,6 +27,16 @@
 SILENT_MS = 1_600.0
 SILENT_PACES = 3.5
 """Silence after which a stream is cut."""
+QUIET_MS = 120.0
+"""Silence after which a stream with calls on it is asked for a sign of life."""
+OVERDUE_MS = 200.0
+"""Time without an answer after which a peer counts as quiet.
+
+It gets no new call then, as long as another one can take it. A peer that has
+gone silent keeps the load that it told last, and looks the emptier the more
+the others fill up: in a burst, 262 requests of 1.3 s went to one that was cut
+off, until its stream was suspect.
+"""
 REASONS = frozenset(
     {"silent", "closed", "replaced", "started_anew", "stopping"}
 )
@@ -107,6 +117,8 @@
       ready: Whether both sides know each other's clocks.
       heard_at: When something arrived last.
       echoed_at: When the newest status was sent that the peer has echoed.
+      asked_at: When the peer was asked for a sign of life that has not come;
+        0 while none is due.
       calls: Calls on it by number; what they are is the owner's matter.
     """
 
@@ -129,6 +141,7 @@
         self.status_now = 0.0
         self.status_at = 0.0
         self.echoed_at = 0.0
+        self.asked_at = 0.0
         self.told_counts: dict[str, int] = {}
         self.pushed_version = 0
         self.transport: asyncio.Transport | None = None
@@ -176,6 +189,7 @@
     def data_received(self, data: bytes) -> None:
         """Takes frames; a bad one ends this stream only."""
         self.heard_at = self.context.now
+        self.asked_at = 0.0
         try:
             for frame in self.reader.feed(data):
                 self.receive(frame)
@@ -224,6 +238,24 @@
         self.status_now, self.status_at = status.now_ms, now
         self.owner.status_heard(self, status)
 
+    def ask(self, status: frames.Status) -> None:
+        """Sends a status, which the peer answers at once."""
+        self.send(status)
+        if not self.asked_at:
+            self.asked_at = self.context.now
+
+    def is_due_to_ask(self, now: float) -> bool:
+        """Whether calls wait on the stream and nothing has come for long."""
+        return (
+            bool(self.calls)
+            and not self.asked_at
+            and now - self.heard_at > QUIET_MS
+        )
+
+    def is_quiet(self, now: float) -> bool:
+        """Whether the peer owes a sign of life."""
+        return bool(self.asked_at) and now - self.asked_at > OVERDUE_MS
+
     def usable(self, now: float) -> bool:
         """Whether a new call may be opened.
 
--- a/src/currantcart/proxy/peers.py
+++ b/src/currantcart/proxy/peers.py
@@ -112,7 +112,7 @@
             context,
             own=self.own,
             by_service=self.by_service,
-            is_usable=lambda instance: self.link_to(instance) is not None,
+            link_to=self.link_to,
         )
 
     # Members.
@@ -335,7 +335,10 @@
         """Tells all peers this node's status now."""
         self.told_at = self.context.now
         for item in self.introduced():
-            item.send(self.status(item))
+            if item.dialled:
+                item.ask(self.status(item))
+            else:
+                item.send(self.status(item))
 
     def tick(self) -> None:
         """Tells the status when it is time, and notices silence."""
@@ -343,6 +346,9 @@
         for peer in list(self.by_instance.values()):
             for item in peer.links():
                 item.check(now)
+            found = peer.outgoing
+            if found is not None and found.peer and found.is_due_to_ask(now):
+                found.ask(self.status(found))
             if peer.outgoing is None and now >= peer.dial_after:
                 self.dial(peer)
         for item in list(self.accepted):
--- a/src/currantcart/proxy/reach.py
+++ b/src/currantcart/proxy/reach.py
@@ -6,6 +6,7 @@
 
 from currantcart.admission import pressure
 from currantcart.proxy import context as proxy_context
+from currantcart.proxy import link
 from currantcart.routing import picker
 
 PRESSURE_MS = 40.0
@@ -30,7 +31,7 @@
     Attributes:
       own: The own target.
       by_service: All targets that are known; whoever made this changes it.
-      is_usable: Tells whether calls can be opened to a peer now.
+      link_to: Returns the stream on which calls to a peer can be opened.
     """
 
     def __init__(
@@ -39,12 +40,12 @@
         *,
         own: picker.Target,
         by_service: dict[str, list[picker.Target]],
-        is_usable: Callable[[str], bool],
+        link_to: Callable[[str], link.Link | None],
     ) -> None:
         self.context = context
         self.own = own
         self.by_service = by_service
-        self.is_usable = is_usable
+        self.link_to = link_to
         self.pressures: dict[str, tuple[float, pressure.Pressure]] = {}
         self.reached: dict[str, tuple[float, list[picker.Target]]] = {}
 
@@ -55,20 +56,23 @@
     def reachable(self, service: str) -> list[picker.Target]:
         """Returns the targets of a service that can be reached now.
 
-        The list is kept for some milliseconds, unless a target or a stream
-        changes: going through thirty streams for each request costs more
-        than routing it.
+        Those whose peers owe a sign of life are left out, unless there are
+        no others. The list is kept for some milliseconds, unless a target or
+        a stream changes: going through thirty streams for each request costs
+        more than routing it.
         """
         now = self.context.now
         at, kept = self.reached.get(service, (0.0, []))
         if now - at < REACHED_MS:
             return kept
-        found = [
-            target
-            for target in self.by_service.get(service, ())
-            if target is self.own
-            or (target.ready and self.is_usable(target.instance))
-        ]
+        found: list[picker.Target] = []
+        quiet: list[picker.Target] = []
+        for target in self.by_service.get(service, ()):
+            if target is self.own:
+                found.append(target)
+            elif target.ready and (way := self.link_to(target.instance)):
+                (quiet if way.is_quiet(now) else found).append(target)
+        found = found or quiet
         self.reached[service] = (now, found)
         return found
 
--- a/tests/proxy/test_outcomes.py
+++ b/tests/proxy/test_outcomes.py
@@ -283,3 +283,54 @@
     await mesh.settle(1.0)
     assert "b" not in front.node.peers.by_instance
     assert "n" in front.node.peers.by_instance
+
+
+async def test_a_target_behind_a_silent_stream_does_not_look_empty(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """A node is cut off in a burst, and nothing says so.
+
+    It told last that its target was nearly empty. The others fill up with
+    what comes, so it looks the better the longer it is silent, and callers
+    get nothing for all that goes there.
+    """
+    front, near, far = await two_targets(mesh)
+    link = near.node.peers.by_instance["a"].incoming
+    assert link is not None
+    far.target.work_seconds = 0.2
+    waiting = []
+    for number in range(40):
+        if number == 10:
+            link.data_received = lambda data: None  # type: ignore[method-assign]
+        waiting.append(
+            mesh.loop.create_task(
+                mesh.ask(
+                    front,
+                    fake_mesh.request(
+                        "/pay/1",
+                        method="POST",
+                        body=b"fee",
+                        request_id=f"p{number}",
+                    ),
+                )
+            )
+        )
+        await mesh.settle(0.04)
+    statuses = [(await task).status for task in waiting]
+    assert statuses[:9] == [200] * 9
+    # 0.12 s of quiet, 0.2 s for the answer, a tick and what is kept.
+    assert statuses[21:] == [200] * 19
+
+
+async def test_a_quiet_target_is_used_where_there_is_no_other(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """Lost packets delay the sign of life of the only target."""
+    front = await mesh.add("a", service="other")
+    await mesh.add("b")
+    await mesh.settle()
+    found = front.node.peers.link_to("b")
+    assert found is not None
+    found.asked_at = mesh.clock.now() - 300.0
+    assert found.is_quiet(mesh.clock.now())
+    assert (await mesh.ask(front, fake_mesh.request())).status == 200
