Log a peer that has become quiet, and write down what was weighed

Cause: leaving a quiet peer out changes what a node believes, and no line said so. `peer_quiet` and `peer_heard_again` are told once each with the calls on the stream and the silence.

--- a/src/currantcart/proxy/link.py
+++ b/src/currantcart/proxy/link.py
@@ -119,6 +119,7 @@
       echoed_at: When the newest status was sent that the peer has echoed.
       asked_at: When the peer was asked for a sign of life that has not come;
         0 while none is due.
+      quiet: Whether the peer was told of as quiet.
       calls: Calls on it by number; what they are is the owner's matter.
     """
 
@@ -142,6 +143,7 @@
         self.status_at = 0.0
         self.echoed_at = 0.0
         self.asked_at = 0.0
+        self.quiet = False
         self.told_counts: dict[str, int] = {}
         self.pushed_version = 0
         self.transport: asyncio.Transport | None = None
@@ -256,6 +258,18 @@
         """Whether the peer owes a sign of life."""
         return bool(self.asked_at) and now - self.asked_at > OVERDUE_MS
 
+    def tell_quiet(self, now: float) -> None:
+        """Logs that the peer has become quiet, or is heard again."""
+        if self.is_quiet(now) == self.quiet:
+            return
+        self.quiet = not self.quiet
+        self.context.log.event(
+            "peer_quiet" if self.quiet else "peer_heard_again",
+            peer=self.peer.instance if self.peer else "",
+            calls=len(self.calls),
+            silent_ms=round(now - self.heard_at),
+        )
+
     def usable(self, now: float) -> bool:
         """Whether a new call may be opened.
 
--- a/src/currantcart/proxy/peers.py
+++ b/src/currantcart/proxy/peers.py
@@ -348,8 +348,10 @@
             for item in peer.links():
                 item.check(now)
             found = peer.outgoing
-            if found is not None and found.peer and found.is_due_to_ask(now):
-                found.ask(self.status(found))
+            if found is not None and found.peer:
+                if found.is_due_to_ask(now):
+                    found.ask(self.status(found))
+                found.tell_quiet(now)
             if peer.outgoing is None and now >= peer.dial_after:
                 self.dial(peer)
         for item in list(self.accepted):
--- a/tests/proxy/test_outcomes.py
+++ b/tests/proxy/test_outcomes.py
@@ -320,6 +320,9 @@
     assert statuses[:9] == [200] * 9
     # 0.12 s of quiet, 0.2 s for the answer, a tick and what is kept.
     assert statuses[21:] == [200] * 19
+    told = [line for line in mesh.lines if "event=peer_quiet" in line]
+    assert len(told) == 1
+    assert "peer=b" in told[0]
 
 
 async def test_a_quiet_target_is_used_where_there_is_no_other(
