Start a node once where two series of the soak restart it

Change: World.restart starts the process again only if nobody else has, and counts restarts under way. In the node: a port that is taken is one line, start_failed, and status 1, in place of a traceback.

Tests: test_a_node_that_two_series_restart_at_once… and test_a_port_that_is_taken_is_told_in_one_line, both failed first.

--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -44,7 +44,7 @@
     process: subprocess.Popen[bytes] | None = None
     server: asyncio.Server | None = None
     phase: str = "ready"
-    ending: bool = False
+    restarts: int = 0
     sequence: int = 0
     born: int = 1
 
@@ -204,21 +204,26 @@
             place.process.send_signal(number)
 
     async def restart(self, place: Place, number: signal.Signals) -> None:
-        """Ends a node's process and starts it again."""
-        place.ending = True
+        """Ends a node's process and starts it again.
+
+        Series overlap: the process may be ending already for another one. It
+        gets this signal as well, and is started again once.
+        """
+        place.restarts += 1
         self.send_signal(place, number)
         process = place.process
         while process is not None and process.poll() is None:  # noqa: ASYNC110
             await asyncio.sleep(0.05)
-        self.launch(place)
-        place.ending = False
+        if place.process is process:
+            self.launch(place)
+        place.restarts -= 1
 
     async def supervise(self, place: Place) -> None:
         """Starts a process again that has ended of its own, and notes it."""
         while True:
             await asyncio.sleep(0.1)
             process = place.process
-            if process is None or place.ending or process.poll() is None:
+            if process is None or place.restarts or process.poll() is None:
                 continue
             self.record.ended.append(f"{place.name}: {process.returncode}")
             self.launch(place)
--- a/src/currantcart/proxy/serve.py
+++ b/src/currantcart/proxy/serve.py
@@ -66,14 +66,22 @@
     """Runs a node until it is asked to stop.
 
     Returns:
-      0 after a graceful shutdown, 1 when requests were cut.
+      0 after a graceful shutdown, 1 when requests were cut or an address
+      could not be taken.
     """
     loop = asyncio.get_running_loop()
     running = build(proxy_settings.load(path), loop)
     for name in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(name, running.stopping.set)
     loop.add_signal_handler(signal.SIGHUP, reload, running, path)
-    await running.start()
+    try:
+        await running.start()
+    except OSError as error:
+        # The process before may still hold a port; whoever starts this one
+        # tries again, and its log should say why in one line.
+        running.context.log.event("start_failed", detail=str(error))
+        running.context.log.flush()
+        return 1
     running.background.keep(functools.partial(watch_settings, running, path))
     gc.collect()
     gc.freeze()
--- /dev/null
+++ b/tests/soak/test_world.py
@@ -0,0 +1,66 @@
+"""The fleet that the soak plays with."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import random
+import signal
+import subprocess
+from typing import cast
+
+import pytest
+
+from bench.soak import wire, world
+from bench.standins import http_target
+
+
+class Process:
+    """A process that ends some time after its first signal."""
+
+    def __init__(self) -> None:
+        self.signals: list[int] = []
+        self.ended = False
+
+    def poll(self) -> int | None:
+        return 0 if self.ended else None
+
+    def send_signal(self, number: int) -> None:
+        self.signals.append(number)
+
+
+async def test_a_node_that_two_series_restart_at_once_is_started_once(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Started twice, the second process finds the ports taken and ends.
+
+    The run then blames the node for having ended of itself.
+    """
+    fleet = world.World(tmp_path, random.Random(1))
+    first = Process()
+    place = world.Place(
+        "n0",
+        tmp_path / "n0.json",
+        [0] * 6,
+        wire.FaultyWire(0),
+        http_target.HttpTarget(),
+        process=cast("subprocess.Popen[bytes]", first),
+    )
+    launched: list[Process] = []
+
+    def launch(started: world.Place) -> None:
+        launched.append(Process())
+        started.process = cast("subprocess.Popen[bytes]", launched[-1])
+
+    monkeypatch.setattr(fleet, "launch", launch)
+    both = [
+        asyncio.create_task(fleet.restart(place, number))
+        for number in (signal.SIGTERM, signal.SIGKILL)
+    ]
+    await asyncio.sleep(0.2)
+    assert first.signals == [signal.SIGTERM, signal.SIGKILL]
+    assert place.restarts == 2
+    first.ended = True
+    await asyncio.gather(*both)
+    assert len(launched) == 1
+    assert place.restarts == 0
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -3,8 +3,12 @@
 from __future__ import annotations
 
 import json
+import os
 import pathlib
 import re
+import socket
+import subprocess
+import sys
 import tomllib
 
 from bench import node_requirements
@@ -61,3 +65,45 @@
     assert (root / role["template"]).is_file()
     assert (root / role["run"].split(" ")[1]).is_file()
     assert role["serves"] == ["sidecar"]
+
+
+def test_a_port_that_is_taken_is_told_in_one_line(
+    tmp_path: pathlib.Path,
+) -> None:
+    """The process before has not gone yet as the next one starts.
+
+    A traceback in the log names no cause that on-call could search for.
+    """
+    with socket.socket() as taken, socket.socket() as free:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        free.bind(("127.0.0.1", 0))
+        free.listen()
+        address = "127.0.0.1:%d" % taken.getsockname()[1]
+        settings = tmp_path / "settings.json"
+        settings.write_text(
+            json.dumps(
+                {
+                    "instance": "n1",
+                    "failure_domain": "a",
+                    "region": "r",
+                    "service": "grades",
+                    "target": "127.0.0.1:1",
+                    "listen": dict.fromkeys(
+                        ("callers", "peers", "readiness", "reports"), address
+                    ),
+                    "store": "127.0.0.1:%d" % free.getsockname()[1],
+                }
+            )
+        )
+        ended = subprocess.run(
+            [sys.executable, str(DEPLOY / "node.py")],
+            env={**os.environ, "CURRANTCART_BOOT": str(settings)},
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+    assert ended.returncode == 1
+    assert "event=start_failed" in ended.stdout
+    assert "address already in use" in ended.stdout
+    assert "Traceback" not in ended.stderr
