--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -79,7 +79,7 @@
         taken.listen()
         free.bind(("127.0.0.1", 0))
         free.listen()
-        address = "127.0.0.1:%d" % taken.getsockname()[1]
+        address = f"127.0.0.1:{taken.getsockname()[1]}"
         settings = tmp_path / "settings.json"
         settings.write_text(
             json.dumps(
@@ -92,7 +92,7 @@
                     "listen": dict.fromkeys(
                         ("callers", "peers", "readiness", "reports"), address
                     ),
-                    "store": "127.0.0.1:%d" % free.getsockname()[1],
+                    "store": f"127.0.0.1:{free.getsockname()[1]}",
                 }
             )
         )
