Play the soak on the product's own interface as well

Cause: the soak spoke the platform's interface only; the own one had generated histories in memory and a demonstration with processes, and nothing overlapped.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -26,6 +26,7 @@
     proxy_hop,
     rate,
 )
+from bench.soak import own as soak_own
 from bench.soak import run as soak_run
 
 
@@ -59,6 +60,7 @@
         option("rounds", None, "Seeds to play.", flag=False, default="1"),
         option("seconds", None, "Of faults in each.", flag=False, default="20"),
         option("keep", None, "Folder for the logs.", flag=False),
+        option("own", None, "On the product's own interface."),
     ]
 
     def handle(self) -> int:
@@ -67,7 +69,11 @@
         red = 0
         for number in range(seed, seed + int(self.option("rounds"))):
             folder = pathlib.Path(keep) / str(number) if keep else None
-            result = soak_run.run(number, float(self.option("seconds")), folder)
+            seconds = float(self.option("seconds"))
+            if self.option("own"):
+                result = soak_own.run_own(number, seconds)
+            else:
+                result = soak_run.run(number, seconds, folder)
             print(json.dumps(dataclasses.asdict(result)), flush=True)
             red += bool(result.broken)
         return 1 if red else 0
