Let one piece serve both soaks and the experiments

Cause: the series of faults stood twice (bench/soak/run.py and own.py) and so did asking the store stand-in (own.py and experiments/once.py). run.series takes the faults; Fleet.ask_store asks.

--- a/bench/experiments/once.py
+++ b/bench/experiments/once.py
@@ -12,8 +12,6 @@
 import json
 import statistics
 
-import aiohttp
-
 from bench import checkers, deployments, fleet, load, measure
 from bench.standins import target as target_standin
 
@@ -37,33 +35,20 @@
     ]  # fmt: skip
 
 
-async def store_call(running: fleet.Fleet, method: str, path: str,
-                     body: object = None) -> dict[str, int]:  # fmt: skip
-    """Asks the store stand-in something."""
-    async with (
-        aiohttp.ClientSession() as session,
-        session.request(
-            method, f"http://{running.store}{path}", json=body
-        ) as response,
-    ):
-        answer = await response.json()
-        return answer if isinstance(answer, dict) else {}
-
-
 async def faults(running: fleet.Fleet) -> None:
     """Loses answers, kills and replaces a node, and takes the store down."""
     unit = next(u for u in running.units if u.instance == KILLED)
     await asyncio.sleep(0.5)
-    await store_call(running, "PUT", "/fault", {"lose_answers": 20})
+    await running.ask_store("PUT", "/fault", {"lose_answers": 20})
     await asyncio.sleep(1.0)
     running.processes[f"node-{KILLED}"].kill()
     running.processes[f"node-{KILLED}"].wait()
     await asyncio.sleep(1.0)
     running.start_node(unit, fleet_instances=len(running.units))
     await asyncio.sleep(2.0)
-    await store_call(running, "PUT", "/fault", {"down": True})
+    await running.ask_store("PUT", "/fault", {"down": True})
     await asyncio.sleep(1.0)
-    await store_call(running, "PUT", "/fault", {"lose_writes": 20})
+    await running.ask_store("PUT", "/fault", {"lose_writes": 20})
 
 
 @dataclasses.dataclass
@@ -88,10 +73,10 @@
     addresses = [unit.callers for unit in running.units]
     caller = load.Caller("mill-1", key, kinds())
     calm = load.Load(addresses, seed=seed)
-    before = await store_call(running, "GET", "/counts")
+    before = await running.ask_store("GET", "/counts")
     await calm.run([caller], seconds=CALM_SECONDS)
     await asyncio.sleep(0.5)
-    after = await store_call(running, "GET", "/counts")
+    after = await running.ask_store("GET", "/counts")
     rough = load.Load(addresses, seed=seed + 1)
     rough.sent = calm.sent
     await asyncio.gather(
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -251,6 +251,19 @@
             entries: list[dict[str, Any]] = await response.json()
             return entries
 
+    async def ask_store(
+        self, method: str, path: str, body: object = None
+    ) -> dict[str, int]:
+        """Asks the store stand-in something."""
+        async with (
+            aiohttp.ClientSession() as session,
+            session.request(
+                method, f"http://{self.store}{path}", json=body
+            ) as response,
+        ):
+            answer = await response.json()
+            return answer if isinstance(answer, dict) else {}
+
     def signal(self, name: str, number: signal.Signals) -> None:
         """Sends a signal to a process of this fleet."""
         self.processes[name].send_signal(number)
--- a/bench/soak/own.py
+++ b/bench/soak/own.py
@@ -8,8 +8,6 @@
 import signal
 from collections.abc import Awaitable, Callable
 
-import aiohttp
-
 from bench import checkers, deployments, fleet, load
 from bench.soak import run
 from bench.standins import target as target_standin
@@ -141,16 +139,9 @@
     faults: dict[str, object] = rng.choice(
         [{"down": True}, {"lose_answers": 20}, {"lose_writes": 20}]
     )
-    for fault in (faults, {}):
-        async with (
-            aiohttp.ClientSession() as session,
-            session.put(
-                f"http://{world.running.store}/fault", json=fault
-            ) as answer,
-        ):
-            await answer.read()
-        if fault:
-            await run.hold(rng)
+    await world.running.ask_store("PUT", "/fault", faults)
+    await run.hold(rng)
+    await world.running.ask_store("PUT", "/fault", {})
 
 
 async def spoil_target(world: World, rng: random.Random) -> None:
@@ -167,19 +158,6 @@
 )  # fmt: skip
 
 
-async def series(
-    world: World, rng: random.Random, seconds: float, told: list[str]
-) -> None:
-    """Plays faults one after the other; several series overlap."""
-    loop = asyncio.get_running_loop()
-    end = loop.time() + seconds
-    while loop.time() < end:
-        fault = rng.choice(FAULTS)
-        told.append(fault.__name__)
-        await fault(world, rng)
-        await asyncio.sleep(rng.uniform(0.1, 1.0))
-
-
 def broken(outcomes: list[load.Outcome], ran: list[checkers.Ran]) -> list[str]:
     """Returns a line for each promise that was broken."""
     kinds = {outcome.request_id: outcome.kind for outcome in outcomes}
@@ -220,7 +198,13 @@
     await asyncio.gather(
         world.send(seconds, seed=seed),
         *(
-            series(world, random.Random(rng.random()), seconds - 1, told)
+            run.series(
+                world,
+                FAULTS,
+                random.Random(rng.random()),
+                seconds - 1,
+                told,
+            )
             for _ in range(2)
         ),
     )
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -8,7 +8,8 @@
 import random
 import signal
 import tempfile
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
+from typing import TypeVar
 
 from bench.soak import promises, wire, world
 from bench.standins import http_target, key_value
@@ -42,6 +43,7 @@
     faults: list[str]
 
 
+Played = TypeVar("Played")
 Fault = Callable[[world.World, random.Random], Awaitable[None]]
 
 
@@ -140,7 +142,8 @@
 
 
 async def series(
-    fleet: world.World,
+    fleet: Played,
+    faults: Sequence[Callable[[Played, random.Random], Awaitable[None]]],
     rng: random.Random,
     seconds: float,
     told: list[str],
@@ -149,7 +152,7 @@
     loop = asyncio.get_running_loop()
     end = loop.time() + seconds
     while loop.time() < end:
-        fault = rng.choice(FAULTS)
+        fault = rng.choice(faults)
         told.append(fault.__name__)
         await fault(fleet, rng)
         await asyncio.sleep(rng.uniform(0.1, 1.0))
@@ -166,7 +169,13 @@
         load = asyncio.create_task(fleet.load(PER_SECOND, seconds))
         await asyncio.gather(
             *(
-                series(fleet, random.Random(rng.random()), seconds - 1, told)
+                series(
+                    fleet,
+                    FAULTS,
+                    random.Random(rng.random()),
+                    seconds - 1,
+                    told,
+                )
                 for _ in range(2)
             )
         )
