Name the configuration's fields that nobody knows, and statuses once

Cause: a configuration of a newer operator was read past in silence; the statuses at which an answer is no success, or the target's failure, stood in three modules under one name with two values.

Change: platform.config names the fields it does not know; the feed tells them once a version (config_fields_unread). http1.status holds NO_SUCCESS and SERVER_ERROR. Tests: test_unknown_fields_are_passed_over_and_named in place of test_unknown_fields_are_passed_over (stricter: the names, and none for a known document), test_fields_that_nobody_knows_are_told_once_a_version. No other behaviour changed.

--- a/src/currantcart/catalog/model.py
+++ b/src/currantcart/catalog/model.py
@@ -107,6 +107,7 @@
       services: Services by name.
       workspaces: Workspaces by key.
       limits: What callers may send.
+      unread: Names of fields that this program does not know.
     """
 
     def __init__(
@@ -118,8 +119,10 @@
         workspaces: tuple[Workspace, ...],
         keyed: bool,
         limits: CallerLimits,
+        unread: tuple[str, ...] = (),
     ) -> None:
         self.version = version
+        self.unread = unread
         self.routes: dict[str, dict[str, Route]] = {}
         for route in routes:
             self.routes.setdefault(route.host, {})[route.prefix] = route
--- a/src/currantcart/platform/config.py
+++ b/src/currantcart/platform/config.py
@@ -80,7 +80,7 @@
     idle_timeout_s: float = 15.0
 
 
-class Document(msgspec.Struct):
+class Document(msgspec.Struct, rename="kebab"):
     """The whole document."""
 
     version: int
@@ -88,6 +88,31 @@
     services: Table
     tenants: Table | None = None
     limits: LimitsRecord = LimitsRecord()
+    base_version: int | None = None
+
+
+UNUSED = frozenset({"health-path", "protocol", "tls"})
+"""Columns of services that nothing here needs."""
+
+
+def unread_fields(text: bytes, document: Document) -> tuple[str, ...]:
+    """Returns the names in a document that nothing here knows."""
+    tables: list[tuple[list[str], type[msgspec.Struct]]] = [
+        (
+            list(msgspec.json.decode(text, type=dict[str, msgspec.Raw])),
+            Document,
+        ),
+        (document.routes.columns, RouteRecord),
+        (document.services.columns, ServiceRecord),
+    ]
+    if document.tenants is not None:
+        tables.append((document.tenants.columns, TenantRecord))
+    return tuple(
+        name
+        for names, record in tables
+        for name in names
+        if name not in UNUSED and name not in record.__struct_encode_fields__
+    )
 
 
 def parse(text: bytes) -> model.Catalog:
@@ -138,6 +163,7 @@
             header_ms=limits.header_timeout_s * MS,
             idle_ms=limits.idle_timeout_s * MS,
         ),
+        unread=unread_fields(text, document),
     )
 
 
--- a/src/currantcart/proxy/config_feed.py
+++ b/src/currantcart/proxy/config_feed.py
@@ -13,6 +13,7 @@
 from currantcart.store import leased
 
 PUSH_AGAIN_MS = 300.0
+UNREAD_MAX = 20
 WATCH_MS = 10_000.0
 WATCH_AGAIN_SECONDS = 1.0
 NOTHING_YET_MS = 200.0
@@ -150,6 +151,12 @@
             source=source,
             age_ms=round(self.context.now - as_of),
         )
+        if catalog.unread:
+            self.context.log.event(
+                "config_fields_unread",
+                version=catalog.version,
+                fields=",".join(catalog.unread[:UNREAD_MAX]),
+            )
         self.document = document
         self.taken_at = self.context.now
         self.context.catalog = catalog
--- a/src/currantcart/proxy/frontend.py
+++ b/src/currantcart/proxy/frontend.py
@@ -6,11 +6,10 @@
 
 from currantcart.admission import connections as connection_bounds
 from currantcart.catalog import model as catalog_model
+from currantcart.http1 import status
 from currantcart.proxy import caller, intake, outbound
 from currantcart.proxy import context as proxy_context
 
-FAILED_STATUS = 300
-
 
 class CallerServer:
     """All connections of callers.
@@ -76,10 +75,10 @@
         self.connections.discard(connection)
         self.idle.pop(connection, None)
 
-    def is_last_answer(self, status: int) -> bool:
+    def is_last_answer(self, code: int) -> bool:
         """Tells whether a connection is closed behind an answer."""
         return self.context.draining or self.bound.closes_after(
-            opened=len(self.connections), failed=status >= FAILED_STATUS
+            opened=len(self.connections), failed=code >= status.NO_SUCCESS
         )
 
     def hold(self, size: int) -> bool:
--- a/src/currantcart/proxy/guard.py
+++ b/src/currantcart/proxy/guard.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from currantcart.admission import pressure, slots, speed
-from currantcart.http1 import pool
+from currantcart.http1 import pool, status
 from currantcart.proxy import context as proxy_context
 from currantcart.proxy import frames
 from currantcart.proxy import job as job_module
@@ -15,7 +15,6 @@
 LATE_MS = 40.0
 """Time left below which a request isn't handed to the target any more."""
 SWEEP_SECONDS = 0.02
-FAILED_STATUS = 500
 OBJECTIVE_MS = 300.0
 SLOW_OF_OBJECTIVE = 0.8
 """Part of the objective beyond which the time at the target is told."""
@@ -269,7 +268,7 @@
             return True
         worked_ms = now - job.handed_at
         self.context.counts.observe("target_seconds", worked_ms)
-        if response.status < FAILED_STATUS:
+        if response.status < status.SERVER_ERROR:
             self.speed.note(worked_ms)
         if now - job.arrived_at > job.opening.objective_ms * SLOW_OF_OBJECTIVE:
             self.tell_slow(job, now)
--- a/src/currantcart/proxy/job.py
+++ b/src/currantcart/proxy/job.py
@@ -6,12 +6,11 @@
 from typing import Protocol
 
 from currantcart.admission import slots
-from currantcart.http1 import pool
+from currantcart.http1 import pool, status
 from currantcart.proxy import dialect, frames
 
 COULD_NOT_RUN = frozenset({400, 429, 503})
 MISDIRECTED = 421
-FAILED_STATUS = 300
 
 
 class ReplyTo(Protocol):
@@ -74,7 +73,7 @@
 ) -> AnswerHead:
     """Reads what the headers of an answer say."""
     request_id: bytes | None = None
-    sealed = response.status >= FAILED_STATUS
+    sealed = response.status >= status.NO_SUCCESS
     not_executed = response.status == MISDIRECTED
     lines: list[bytes] = []
     for name, value in response.headers:
--- a/src/currantcart/proxy/outbound.py
+++ b/src/currantcart/proxy/outbound.py
@@ -8,6 +8,7 @@
 from currantcart.admission import pressure, returns
 from currantcart.call import attempt, budget
 from currantcart.catalog import model as catalog_model
+from currantcart.http1 import status as status_module
 from currantcart.proxy import call as call_module
 from currantcart.proxy import context as proxy_context
 from currantcart.proxy import (
@@ -294,12 +295,13 @@
         self, call: call_module.Call, status: int, head: bytes, body: bytes
     ) -> None:
         """Passes a target's answer on."""
+        failed = status >= status_module.SERVER_ERROR
         self.step(call, attempt.Event.ANSWER)
         endings.count_end(self.context, call, f"{status // 100}xx")
-        self.leave_target(call, failed=status >= 500)
+        self.leave_target(call, failed=failed)
         self.end(call)
-        self.edge.note_end(call, failed=status >= 500)
-        if status >= 500:
+        self.edge.note_end(call, failed=failed)
+        if failed:
             self.tell_end(call, "target_failed", status)
         else:
             endings.tell_answer(self.context, call, status)
--- a/tests/platform/test_config.py
+++ b/tests/platform/test_config.py
@@ -49,8 +49,14 @@
     assert not config.parse(changed(tenants=None)).keyed
 
 
-def test_unknown_fields_are_passed_over() -> None:
-    assert config.parse(changed(colour="green")).version == 7
+def test_unknown_fields_are_passed_over_and_named() -> None:
+    document = json.loads(fake_mesh.document(7))
+    document["colour"] = "green"
+    document["routes"]["columns"].append("shape")
+    catalog = config.parse(json.dumps(document).encode())
+    assert catalog.version == 7
+    assert catalog.unread == ("colour", "shape")
+    assert config.parse(fake_mesh.document(7)).unread == ()
 
 
 @pytest.mark.parametrize(
--- a/tests/proxy/test_config.py
+++ b/tests/proxy/test_config.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import json
+
 from currantcart.fleet import freshness
 from currantcart.store import leased as store_port
 from currantcart.store import port
@@ -219,3 +221,18 @@
         mesh.store.operate("op/config", fake_mesh.document(version))
         await mesh.settle(1.5)
         assert places[2].node.context.freshness.version == version
+
+
+async def test_fields_that_nobody_knows_are_told_once_a_version(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """The operator writes more than this program reads."""
+    places = await three_nodes(mesh)
+    document = json.loads(fake_mesh.document(5))
+    document["colour"] = "green"
+    mesh.store.operate("op/config", json.dumps(document).encode())
+    await mesh.settle(3.0)
+    told = [line for line in mesh.lines if "event=config_fields_unread" in line]
+    assert len(told) == len(places)
+    assert all("fields=colour" in line for line in told)
+    assert (await mesh.ask(places[0], fake_mesh.request())).status == 200
