Tell the ends of freshness, rates and repeats, and callers that leave

Cause: on-call is owed a line for each change of what a node believes. That the keys could no longer be shown to be current, that a workspace had come to the end of its rate, or a service to that of its repeats, was to be seen only in the lines of the requests that it touched; a caller that left had no line.

Now each is told as exhausted until a second has passed without a refusal, twice a second at most.

Only logs change.

--- a/src/currantcart/call/budget.py
+++ b/src/currantcart/call/budget.py
@@ -18,6 +18,8 @@
 count at services further down, where this node does not see them.
 """
 SLACK_KEPT = 0.75
+EXHAUSTED_MS = 1_000.0
+"""Time after a refusal for which a budget counts as exhausted."""
 
 
 class RetryBudget:
@@ -27,6 +29,7 @@
       ratio: Repeats allowed for each request.
       slack: Repeats that this node may send beyond the ratio.
       window_ms: Length of the window.
+      refused_at: When it had none for one that asked.
     """
 
     def __init__(self, *, ratio: float, slack: float, window_ms: float) -> None:
@@ -40,6 +43,7 @@
         self.repeats: collections.deque[tuple[float, int]] = collections.deque()
         self.request_sum = 0
         self.repeat_sum = 0
+        self.refused_at = -EXHAUSTED_MS
 
     def note_request(self, now: float) -> None:
         """Counts a request for the service."""
@@ -59,11 +63,16 @@
             + self.slack * SLACK_KEPT * share
         )
         if self.repeat_sum + 1 > allowed:
+            self.refused_at = now
             return False
         self.add(self.repeats, now)
         self.repeat_sum += 1
         return True
 
+    def is_exhausted(self, now: float) -> bool:
+        """Tells whether a repeat was refused lately."""
+        return now - self.refused_at < EXHAUSTED_MS
+
     def add(
         self, buckets: collections.deque[tuple[float, int]], now: float
     ) -> None:
--- /dev/null
+++ b/src/currantcart/proxy/beliefs.py
@@ -0,0 +1,87 @@
+"""What a node believes and no single request shows: told when it changes."""
+
+from __future__ import annotations
+
+from currantcart.call import budget
+from currantcart.proxy import context as proxy_context
+from currantcart.workspace import quota
+
+
+class Beliefs:
+    """Tells the ends and returns of freshness, rates and retry budgets.
+
+    Attributes:
+      budgets: Retry budgets by service; whoever made this adds to it.
+      fresh: Whether keys could be served when it was told last.
+      over_rate: Workspaces that were told to be over their rate.
+      spent: Services that were told to have no repeats left.
+    """
+
+    def __init__(
+        self,
+        context: proxy_context.Context,
+        *,
+        quotas: quota.Quotas,
+        budgets: dict[str, budget.RetryBudget],
+    ) -> None:
+        self.context = context
+        self.quotas = quotas
+        self.budgets = budgets
+        self.fresh = False
+        self.over_rate: set[str] = set()
+        self.spent: set[str] = set()
+
+    def tell(self, now: float) -> None:
+        """Logs what has changed since the last time."""
+        self.tell_freshness(now)
+        self.tell_rates(now)
+        self.tell_budgets(now)
+
+    def tell_freshness(self, now: float) -> None:
+        """Logs that keys can, or can no longer, be shown to be current."""
+        known = self.context.freshness
+        bound_ms = self.context.settings.bounds.revoke_seconds * 1_000
+        fresh = known.may_serve_keys(now, bound_ms=bound_ms)
+        if fresh == self.fresh:
+            return
+        self.fresh = fresh
+        self.context.log.event(
+            "freshness_regained" if fresh else "freshness_lost",
+            version=known.version,
+            age_ms=round(min(1e9, known.age(now))),
+        )
+
+    def tell_rates(self, now: float) -> None:
+        """Logs workspaces that have come to the end of their rate, or back."""
+        present = self.quotas.exhausted(now)
+        for name in sorted(present.keys() - self.over_rate):
+            bucket = present[name]
+            self.context.log.event(
+                "rate_exhausted",
+                workspace=name,
+                tokens=round(bucket.tokens, 1),
+                rate=round(bucket.rate_per_ms * 1_000, 1),
+                burst=bucket.burst,
+                silent_share=round(self.quotas.silent_share, 2),
+            )
+        for name in sorted(self.over_rate - present.keys()):
+            self.context.log.event("rate_regained", workspace=name)
+        self.over_rate = set(present)
+
+    def tell_budgets(self, now: float) -> None:
+        """Logs services whose repeats are used up, or are there again."""
+        present = {
+            name: held
+            for name, held in self.budgets.items()
+            if held.is_exhausted(now)
+        }
+        for name in sorted(present.keys() - self.spent):
+            self.context.log.event(
+                "budget_exhausted",
+                service=name,
+                requests=present[name].request_sum,
+                repeats=present[name].repeat_sum,
+            )
+        for name in sorted(self.spent - present.keys()):
+            self.context.log.event("budget_regained", service=name)
+        self.spent = set(present)
--- a/src/currantcart/proxy/endings.py
+++ b/src/currantcart/proxy/endings.py
@@ -44,6 +44,19 @@
     )
 
 
+def tell_left(context: proxy_context.Context, call: call_module.Call) -> None:
+    """Logs a request whose caller has left before its answer."""
+    context.log.event(
+        "caller_left",
+        id=call.request.request_id,
+        route=call.request.route.name,
+        service=call.service,
+        outcomes=",".join(item.name.lower() for item in call.outcomes),
+        had_it=",".join(sorted(call.passed_over)),
+        after_ms=round(context.now - call.request.begun_at),
+    )
+
+
 def candidates(
     context: proxy_context.Context,
     call: call_module.Call,
--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -11,6 +11,7 @@
 from currantcart.admission import connections
 from currantcart.fleet import target_record
 from currantcart.proxy import (
+    beliefs,
     config_feed,
     control,
     frames,
@@ -148,6 +149,9 @@
             tell=self.peers.tell,
             hold=self.background.hold,
         )
+        self.beliefs = beliefs.Beliefs(
+            context, quotas=self.quotas, budgets=self.outbound.budgets
+        )
         self.stopping = asyncio.Event()
         self.peer_heard = asyncio.Event()
         self.found = asyncio.Event()
@@ -322,6 +326,7 @@
                 slots=self.guard.slot_count,
             )
             self.callers.sweep()
+            self.beliefs.tell(now)
             self.guard.pool.sweep(now)
 
     def use_settings(self, settings: proxy_settings.ProxySettings) -> None:
--- a/src/currantcart/proxy/outbound.py
+++ b/src/currantcart/proxy/outbound.py
@@ -426,6 +426,7 @@
         """Ends a request whose caller has left."""
         if not call.done:
             endings.count_end(self.context, call, "caller_left")
+            endings.tell_left(self.context, call)
             self.withdraw(call)
             self.end(call)
 
--- a/src/currantcart/workspace/quota.py
+++ b/src/currantcart/workspace/quota.py
@@ -17,6 +17,8 @@
 NEAR_SHARE = 0.5
 HURRIED_RATE_PER_MS = 0.02
 START_SHARE = 0.5
+EXHAUSTED_MS = 1_000.0
+"""Time after a refusal for which a rate counts as exhausted."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -29,6 +31,7 @@
       tokens: Tokens now; negative when the nodes together admitted too much.
       at: When `tokens` was right.
       admitted: Requests that this node admitted since its start.
+      refused_at: When it had no token last.
     """
 
     rate_per_ms: float
@@ -36,6 +39,7 @@
     tokens: float
     at: float
     admitted: int = 0
+    refused_at: float = -EXHAUSTED_MS
 
 
 class Quotas:
@@ -97,6 +101,7 @@
             return 0.0
         self.refill(bucket, now)
         if bucket.tokens < 1.0:
+            bucket.refused_at = now
             missing = 1.0 - bucket.tokens
             rate = bucket.rate_per_ms * (1.0 - self.silent_share)
             return max(1.0, missing / max(rate, 1e-6))
@@ -111,6 +116,14 @@
             bucket.tokens = min(bucket.burst, bucket.tokens + 1.0)
             bucket.admitted -= 1
 
+    def exhausted(self, now: float) -> dict[str, Bucket]:
+        """Returns the buckets that refused a request lately, by workspace."""
+        return {
+            name: bucket
+            for name, bucket in self.buckets.items()
+            if now - bucket.refused_at < EXHAUSTED_MS
+        }
+
     def counts(self) -> dict[str, int]:
         """Returns what this node has admitted, by workspace."""
         return {
