--- a/tests/fakes/leased.py
+++ b/tests/fakes/leased.py
@@ -23,6 +23,7 @@
       losing: Whether it does writes and loses the answers.
       late: Whether it does writes later, without an answer.
       compacted: Revision up to which its history is gone.
+      behind: Keys that stale reads know; None for all.
       reads: Calls that read.
       writes: Calls that write.
     """
@@ -35,6 +36,7 @@
     losing: bool = False
     late: bool = False
     compacted: int = 0
+    behind: set[str] | None = None
     reads: int = 0
     writes: int = 0
     leases: set[int] = dataclasses.field(default_factory=set)
@@ -78,13 +80,13 @@
         return dataclasses.replace(held[0], as_of=self.revision)
 
     async def list(self, prefix: str, *, stale: bool) -> list[leased.Item]:
-        del stale
         self.reads += 1
         await self.meet_faults()
+        known = self.behind if stale and self.behind is not None else self.items
         return [
             held[0]
             for key, held in sorted(self.items.items())
-            if key.startswith(prefix)
+            if key.startswith(prefix) and key in known
         ]
 
     async def watch(
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -59,6 +59,11 @@
     standin.operate("o/1", b"y")
     items = await store.list("n/", stale=True)
     assert [item.key for item in items] == [f"n/{n}" for n in range(5)]
+    assert all("allow-stale=1" in call for call in standin.calls)
+    standin.calls.clear()
+    await store.list("n/", stale=False)
+    await store.get("o/1")
+    assert not any("allow-stale" in call for call in standin.calls)
 
 
 async def test_keys_end_with_their_lease(
--- a/tests/proxy/test_node.py
+++ b/tests/proxy/test_node.py
@@ -221,3 +221,19 @@
         await mesh.restart(place)
     await mesh.settle(0.6)
     assert (await mesh.ask(front, fake_mesh.request())).status == 200
+
+
+async def test_a_stale_list_takes_no_peer_away_that_is_heard(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """Cheap reads of the store are seconds behind, or far more.
+
+    A node that believed them would drop the targets that joined meanwhile.
+    """
+    front = await mesh.add("a", service="other")
+    await mesh.settle()
+    mesh.store.behind = set(mesh.store.items)
+    await mesh.add("b")
+    await mesh.settle(20.0)
+    assert "b" in front.node.peers.by_instance
+    assert (await mesh.ask(front, fake_mesh.request())).status == 200
