--- a/tests/proxy/test_node.py
+++ b/tests/proxy/test_node.py
@@ -236,4 +236,5 @@
     await mesh.add("b")
     await mesh.settle(20.0)
     assert "b" in front.node.peers.by_instance
+    assert not [line for line in mesh.lines if "event=peer_dropped" in line]
     assert (await mesh.ask(front, fake_mesh.request())).status == 200
