--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -253,6 +253,8 @@
             "waiting": lambda: queue.waiting,
             "slots": lambda: queue.slots,
             "pressure": lambda: self.guard.gauge.level,
+            "rates_exhausted": lambda: len(self.beliefs.over_rate),
+            "budgets_exhausted": lambda: len(self.beliefs.spent),
             "log_bytes_dropped": lambda: self.context.log.dropped_bytes,
         }
 
--- a/src/currantcart/telemetry/counts.py
+++ b/src/currantcart/telemetry/counts.py
@@ -144,5 +144,7 @@
     "waiting": "Requests that wait for the target",
     "slots": "Requests that the target is given at once",
     "pressure": "Part of the demand on the target that has to go",
+    "rates_exhausted": "Workspaces that have come to the end of their rate",
+    "budgets_exhausted": "Services whose repeats are used up",
     "log_bytes_dropped": "Bytes of log lines that nobody took",
 }
--- a/tests/proxy/test_beliefs.py
+++ b/tests/proxy/test_beliefs.py
@@ -37,6 +37,9 @@
     (line,) = told(mesh, "rate_exhausted")
     assert "workspace=mill" in line
     assert "rate=2.0" in line
+    metrics = place.node.context.counts.render().decode()
+    assert "currantcart_rates_exhausted 1.0" in metrics
+    assert "currantcart_budgets_exhausted 0.0" in metrics
     await mesh.settle(2.0)
     assert len(told(mesh, "rate_regained")) == 1
 
