Use quiet peers where the own target is away

Cause, found on reading: the own target stands in the list of what can be reached whether or not it is ready. With it away and every peer of its service owing a sign of life, the list held nothing to choose and the quiet ones were left out: requests would wait an eighth of their objective and be refused.

Change: quiet peers are left out only beside a ready target. The test for the only target is played with an own target of the same service as well, looks at what is reached, and fails without the change (tried).

--- a/src/currantcart/proxy/reach.py
+++ b/src/currantcart/proxy/reach.py
@@ -72,7 +72,8 @@
                 found.append(target)
             elif target.ready and (way := self.link_to(target.instance)):
                 (quiet if way.is_quiet(now) else found).append(target)
-        found = found or quiet
+        if not any(target.ready for target in found):
+            found += quiet
         self.reached[service] = (now, found)
         return found
 
--- a/tests/proxy/test_outcomes.py
+++ b/tests/proxy/test_outcomes.py
@@ -325,15 +325,22 @@
     assert "peer=b" in told[0]
 
 
+@pytest.mark.parametrize("service", ["other", "grades"])
 async def test_a_quiet_target_is_used_where_there_is_no_other(
-    mesh: fake_mesh.Mesh,
+    mesh: fake_mesh.Mesh, service: str
 ) -> None:
-    """Lost packets delay the sign of life of the only target."""
-    front = await mesh.add("a", service="other")
+    """Lost packets delay the sign of life of the only target.
+
+    The node's own target, of the same service, may be away as well.
+    """
+    front = await mesh.add("a", service=service, report=False)
     await mesh.add("b")
     await mesh.settle()
     found = front.node.peers.link_to("b")
     assert found is not None
     found.asked_at = mesh.clock.now() - 300.0
     assert found.is_quiet(mesh.clock.now())
+    front.node.peers.reach.forget()
+    reached = front.node.peers.reach.reachable("grades")
+    assert "b" in [target.instance for target in reached]
     assert (await mesh.ask(front, fake_mesh.request())).status == 200
