Let one piece serve where two stood, and drop what nothing used

Cause, from reading the whole change again: a rate and a retry budget each kept a constant and a test for "refused lately", and one reader for both; both soaks held the rule that a process that two series end is started once; `config check` and the reader of logs each turned a missing file into the same coded error; whether a status is owed an answer was decided by the caller of the stream; the configuration's poll was started and then looked up again; an event "silence" and a constant SERVED_AFTER were never used.

Change: beliefs.refused_lately, bench.soak.processes.replace, currantcart.files, Link.tell, ConfigFeed.begin_poll returns its task; the dead names are gone.

Ruled out as the same: LocalReply's endings and the guard's ReplyTo (one speaks of a call, the other of a job); the imports and constants that pair by shape.

Tests of proxy, workspace, call, telemetry, cli and soak pass unchanged. Conclusion: no behaviour changed.

--- a/bench/soak/own.py
+++ b/bench/soak/own.py
@@ -9,12 +9,11 @@
 from collections.abc import Awaitable, Callable
 
 from bench import checkers, deployments, fleet, load
-from bench.soak import run
+from bench.soak import processes, run
 from bench.standins import target as target_standin
 
 CALM_SECONDS = 7.0
 AFTER_SECONDS = 2.0
-POLL_SECONDS = 0.05
 ONCE = load.Kind(
     "once", "POST", "/payments/fees", 15.0, 100,
     patience_ms=3_000.0, attempts=4, operation=True,
@@ -63,24 +62,23 @@
         return self.rng.choice(self.running.units)
 
     async def restart(self, unit: fleet.Unit, number: signal.Signals) -> None:
-        """Ends a node and starts it again, once, whoever else ends it too."""
+        """Ends a node and starts it again."""
+        running = self.running
         name = f"node-{unit.instance}"
         self.restarts[name] = self.restarts.get(name, 0) + 1
-        process = self.running.processes[name]
-        if process.poll() is None:
-            process.send_signal(number)
-        while process.poll() is None:  # noqa: ASYNC110
-            await asyncio.sleep(POLL_SECONDS)
-        if self.running.processes[name] is process:
-            self.running.start_node(
-                unit, fleet_instances=len(self.running.units)
-            )
+        await processes.replace(
+            lambda: running.processes[name],
+            lambda: running.start_node(
+                unit, fleet_instances=len(running.units)
+            ),
+            number,
+        )
         self.restarts[name] -= 1
 
     async def supervise(self) -> None:
         """Notes nodes that end of their own, and starts them again."""
         while True:
-            await asyncio.sleep(POLL_SECONDS)
+            await asyncio.sleep(processes.POLL_SECONDS)
             for unit in self.running.units:
                 name = f"node-{unit.instance}"
                 status = self.running.processes[name].poll()
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -18,7 +18,6 @@
 PER_SECOND = 60.0
 START_SECONDS = 3.0
 CALM_SECONDS = 7.0
-SERVED_AFTER = 0.9
 REGRESSIONS = pathlib.Path(__file__).parent / "regressions.txt"
 
 
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -16,7 +16,7 @@
 import time
 
 from bench import fleet
-from bench.soak import promises, wire
+from bench.soak import processes, promises, wire
 from bench.standins import http_target, key_value
 from currantcart.platform import names
 
@@ -204,18 +204,11 @@
             place.process.send_signal(number)
 
     async def restart(self, place: Place, number: signal.Signals) -> None:
-        """Ends a node's process and starts it again.
-
-        Series overlap: the process may be ending already for another one. It
-        gets this signal as well, and is started again once.
-        """
+        """Ends a node's process and starts it again."""
         place.restarts += 1
-        self.send_signal(place, number)
-        process = place.process
-        while process is not None and process.poll() is None:  # noqa: ASYNC110
-            await asyncio.sleep(0.05)
-        if place.process is process:
-            self.launch(place)
+        await processes.replace(
+            lambda: place.process, lambda: self.launch(place), number
+        )
         place.restarts -= 1
 
     async def supervise(self, place: Place) -> None:
--- a/src/currantcart/call/budget.py
+++ b/src/currantcart/call/budget.py
@@ -18,8 +18,6 @@
 count at services further down, where this node does not see them.
 """
 SLACK_KEPT = 0.75
-EXHAUSTED_MS = 1_000.0
-"""Time after a refusal for which a budget counts as exhausted."""
 
 
 class RetryBudget:
@@ -43,7 +41,7 @@
         self.repeats: collections.deque[tuple[float, int]] = collections.deque()
         self.request_sum = 0
         self.repeat_sum = 0
-        self.refused_at = -EXHAUSTED_MS
+        self.refused_at = float("-inf")
 
     def note_request(self, now: float) -> None:
         """Counts a request for the service."""
@@ -69,10 +67,6 @@
         self.repeat_sum += 1
         return True
 
-    def is_exhausted(self, now: float) -> bool:
-        """Tells whether a repeat was refused lately."""
-        return now - self.refused_at < EXHAUSTED_MS
-
     def add(
         self, buckets: collections.deque[tuple[float, int]], now: float
     ) -> None:
--- a/src/currantcart/cli/proxy.py
+++ b/src/currantcart/cli/proxy.py
@@ -9,7 +9,7 @@
 from cleo.io.inputs.argument import Argument
 from cleo.io.inputs.option import Option
 
-from currantcart import errors
+from currantcart import files
 from currantcart.cli import base, output
 from currantcart.platform import config
 from currantcart.proxy import settings as proxy_settings
@@ -61,15 +61,7 @@
     def handle(self) -> int:
         """Reads the file into the catalog."""
         path = pathlib.Path(self.argument("file"))
-        try:
-            text = path.read_bytes()
-        except OSError as error:
-            raise errors.CurrantcartError(
-                errors.Code.NOT_FOUND,
-                errors.Step.COMMAND,
-                f"{path}: {error.strerror}",
-            ) from error
-        catalog = config.parse(text)
+        catalog = config.parse(files.read(path))
         routes = sum(map(len, catalog.routes.values()))
         output.result(
             self,
--- a/src/currantcart/proxy/beliefs.py
+++ b/src/currantcart/proxy/beliefs.py
@@ -2,10 +2,18 @@
 
 from __future__ import annotations
 
+from typing import Protocol, TypeVar
+
 from currantcart.call import budget
 from currantcart.proxy import context as proxy_context
 from currantcart.workspace import quota
 
+EXHAUSTED_MS = 1_000.0
+"""Time after a refusal for which a rate or a budget counts as exhausted.
+
+Under a steady surplus either has something left again and again.
+"""
+
 
 class Beliefs:
     """Tells the ends and returns of freshness, rates and retry budgets.
@@ -53,7 +61,7 @@
 
     def tell_rates(self, now: float) -> None:
         """Logs workspaces that have come to the end of their rate, or back."""
-        present = self.quotas.exhausted(now)
+        present = refused_lately(self.quotas.buckets, now)
         for name in sorted(present.keys() - self.over_rate):
             bucket = present[name]
             self.context.log.event(
@@ -70,11 +78,7 @@
 
     def tell_budgets(self, now: float) -> None:
         """Logs services whose repeats are used up, or are there again."""
-        present = {
-            name: held
-            for name, held in self.budgets.items()
-            if held.is_exhausted(now)
-        }
+        present = refused_lately(self.budgets, now)
         for name in sorted(present.keys() - self.spent):
             self.context.log.event(
                 "budget_exhausted",
@@ -85,3 +89,21 @@
         for name in sorted(self.spent - present.keys()):
             self.context.log.event("budget_regained", service=name)
         self.spent = set(present)
+
+
+class Refusing(Protocol):
+    """What refuses when it has nothing left."""
+
+    refused_at: float
+
+
+Held = TypeVar("Held", bound=Refusing)
+
+
+def refused_lately(all_: dict[str, Held], now: float) -> dict[str, Held]:
+    """Returns those that had nothing left for one that asked lately."""
+    return {
+        name: held
+        for name, held in all_.items()
+        if now - held.refused_at < EXHAUSTED_MS
+    }
--- a/src/currantcart/proxy/config_feed.py
+++ b/src/currantcart/proxy/config_feed.py
@@ -67,11 +67,12 @@
         if due:
             self.begin_poll()
 
-    def begin_poll(self) -> None:
+    def begin_poll(self) -> asyncio.Task[None]:
         """Reads the configuration, unless that is under way."""
         if self.polling is None:
             self.last_poll = self.context.now
             self.polling = self.context.loop.create_task(self.poll())
+        return self.polling
 
     async def watch(self) -> None:
         """Reads the configuration as soon as the store tells of a change.
@@ -99,9 +100,7 @@
             self.context.counts.add("store_calls", "watch", "done")
             self.as_of = max(self.as_of, changes.as_of)
             if changes.any:
-                self.begin_poll()
-                if self.polling is not None:
-                    await asyncio.wait([self.polling])
+                await asyncio.wait([self.begin_poll()])
 
     async def poll(self) -> None:
         """Reads the configuration once."""
@@ -122,9 +121,10 @@
         if not self.reached:
             self.context.log.event("config_read_again")
         self.reached = True
-        if item is not None:
-            self.as_of = item.as_of
-        if item is not None and self.take(item.value, asked_at, "store"):
+        if item is None:
+            return
+        self.as_of = item.as_of
+        if self.take(item.value, asked_at, "store"):
             self.push()
 
     def take(self, document: bytes, as_of: float, source: str) -> bool:
--- a/src/currantcart/proxy/link.py
+++ b/src/currantcart/proxy/link.py
@@ -240,10 +240,10 @@
         self.status_now, self.status_at = status.now_ms, now
         self.owner.status_heard(self, status)
 
-    def ask(self, status: frames.Status) -> None:
-        """Sends a status, which the peer answers at once."""
+    def tell(self, status: frames.Status) -> None:
+        """Sends a status; the side that was dialled answers it at once."""
         self.send(status)
-        if not self.asked_at:
+        if self.dialled and not self.asked_at:
             self.asked_at = self.context.now
 
     def is_due_to_ask(self, now: float) -> bool:
--- a/src/currantcart/proxy/peers.py
+++ b/src/currantcart/proxy/peers.py
@@ -336,10 +336,7 @@
         """Tells all peers this node's status now."""
         self.told_at = self.context.now
         for item in self.introduced():
-            if item.dialled:
-                item.ask(self.status(item))
-            else:
-                item.send(self.status(item))
+            item.tell(self.status(item))
 
     def tick(self) -> None:
         """Tells the status when it is time, and notices silence."""
@@ -350,7 +347,7 @@
             found = peer.outgoing
             if found is not None and found.peer:
                 if found.is_due_to_ask(now):
-                    found.ask(self.status(found))
+                    found.tell(self.status(found))
                 found.tell_quiet(now)
             if peer.outgoing is None and now >= peer.dial_after:
                 self.dial(peer)
--- a/src/currantcart/telemetry/timeline.py
+++ b/src/currantcart/telemetry/timeline.py
@@ -9,7 +9,7 @@
 import shlex
 from collections.abc import Iterable, Iterator
 
-from currantcart import errors
+from currantcart import files
 
 MARK = "timestamp="
 SLICE_SECONDS = 1.0
@@ -42,7 +42,6 @@
         "settings_read",
         "settings_invalid",
         "pressure",
-        "silence",
     }
 )
 ENDS = frozenset({"request_failed", "request_rejected"})
@@ -96,14 +95,7 @@
     """
     lines: list[Line] = []
     for path in paths:
-        try:
-            text = path.read_text(errors="replace")
-        except OSError as error:
-            raise errors.CurrantcartError(
-                errors.Code.NOT_FOUND,
-                errors.Step.COMMAND,
-                f"{path}: {error.strerror}",
-            ) from error
+        text = files.read(path).decode(errors="replace")
         lines += filter(None, map(parse, text.splitlines()))
     return iter(sorted(lines, key=lambda line: line.at))
 
--- a/src/currantcart/workspace/quota.py
+++ b/src/currantcart/workspace/quota.py
@@ -17,8 +17,6 @@
 NEAR_SHARE = 0.5
 HURRIED_RATE_PER_MS = 0.02
 START_SHARE = 0.5
-EXHAUSTED_MS = 1_000.0
-"""Time after a refusal for which a rate counts as exhausted."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -39,7 +37,7 @@
     tokens: float
     at: float
     admitted: int = 0
-    refused_at: float = -EXHAUSTED_MS
+    refused_at: float = float("-inf")
 
 
 class Quotas:
@@ -116,14 +114,6 @@
             bucket.tokens = min(bucket.burst, bucket.tokens + 1.0)
             bucket.admitted -= 1
 
-    def exhausted(self, now: float) -> dict[str, Bucket]:
-        """Returns the buckets that refused a request lately, by workspace."""
-        return {
-            name: bucket
-            for name, bucket in self.buckets.items()
-            if now - bucket.refused_at < EXHAUSTED_MS
-        }
-
     def counts(self) -> dict[str, int]:
         """Returns what this node has admitted, by workspace."""
         return {
