Split a caller's connection: parsing, one exchange, order and end

Cause: proxy.caller held parsing, pipelining and answers in 410 lines, and knew proxy.frontend, which knew it. Now request_reader parses, exchange is one request with its answer, caller keeps order and end and names what it needs of its owner; the circle is gone.

--- a/src/currantcart/proxy/frontend.py
+++ b/src/currantcart/proxy/frontend.py
@@ -7,8 +7,10 @@
 from currantcart.admission import connections as connection_bounds
 from currantcart.catalog import model as catalog_model
 from currantcart.http1 import status
+from currantcart.proxy import call as call_module
 from currantcart.proxy import caller, intake, outbound
 from currantcart.proxy import context as proxy_context
+from currantcart.proxy import exchange as exchange_module
 
 
 class CallerServer:
@@ -75,6 +77,14 @@
         self.connections.discard(connection)
         self.idle.pop(connection, None)
 
+    def became_busy(self, connection: caller.CallerConnection) -> None:
+        """Takes that a connection has a request."""
+        self.idle.pop(connection, None)
+
+    def became_idle(self, connection: caller.CallerConnection) -> None:
+        """Takes that nothing runs on a connection."""
+        self.idle[connection] = None
+
     def is_last_answer(self, code: int) -> bool:
         """Tells whether a connection is closed behind an answer."""
         return self.context.draining or self.bound.closes_after(
@@ -92,8 +102,31 @@
         """Counts bytes that are no longer held."""
         self.held_bytes = max(0, self.held_bytes - size)
 
+    def route(self, exchange: exchange_module.Exchange) -> None:
+        """Checks a whole request and sends it on its way."""
+        checked: intake.Request | intake.Rejection
+        if exchange.rejection is not None:
+            checked = exchange.rejection
+        else:
+            checked = self.intake.check(
+                exchange.head,
+                self.context.catalog,
+                self.context.freshness,
+                self.context.now,
+                closing=self.context.closing,
+            )
+        if isinstance(checked, intake.Rejection):
+            self.reject(exchange, checked)
+            return
+        checked.body = b"".join(exchange.parts)
+        exchange.call = self.outbound.begin(checked, exchange.take_answer)
+
+    def cancel(self, call: call_module.Call) -> None:
+        """Ends a request whose caller has left."""
+        self.outbound.cancel(call)
+
     def reject(
-        self, exchange: caller.Exchange, rejection: intake.Rejection
+        self, exchange: exchange_module.Exchange, rejection: intake.Rejection
     ) -> None:
         """Answers a request that goes nowhere."""
         self.context.counts.add("rejections", rejection.code)
