Give guard and outbound one job each

guard.py keeps admission, target_exchange.py what goes over the connection to the target; outbound.py keeps a request's way, attempts.py one attempt, parking.py the wait for a target, repeats.py the budgets. Catalog.rates takes the place of a function that stood in outbound.

--- a/src/currantcart/catalog/model.py
+++ b/src/currantcart/catalog/model.py
@@ -153,3 +153,11 @@
                 return route
             end = path.rfind("/", 0, end)
         return None
+
+    def rates(self) -> dict[str, tuple[float, float]]:
+        """Returns rate and burst of each workspace that has a limit."""
+        return {
+            workspace.name: (workspace.rate_per_second, workspace.burst)
+            for workspace in self.by_name.values()
+            if workspace.rate_per_second > 0
+        }
--- a/src/currantcart/proxy/guard.py
+++ b/src/currantcart/proxy/guard.py
@@ -5,19 +5,15 @@
 import asyncio
 from collections.abc import Callable
 
-from currantcart.admission import pressure, slots, speed
-from currantcart.http1 import pool, status
+from currantcart.admission import pressure, slots
 from currantcart.proxy import context as proxy_context
-from currantcart.proxy import frames
+from currantcart.proxy import frames, target_exchange
 from currantcart.proxy import job as job_module
-from currantcart.proxy import settings as proxy_settings
 
 LATE_MS = 40.0
 """Time left below which a request isn't handed to the target any more."""
 SWEEP_SECONDS = 0.02
 OBJECTIVE_MS = 300.0
-SLOW_OF_OBJECTIVE = 0.8
-"""Part of the objective beyond which the time at the target is told."""
 OBJECTIVE_SMOOTHING = 0.02
 
 
@@ -43,15 +39,8 @@
         self.cold_until = 0.0
         self.queue: slots.SlotQueue[job_module.Job] = slots.SlotQueue()
         self.running: dict[int, job_module.Job] = {}
-        self.pool = pool.Pool(
-            address=proxy_settings.split_address(context.settings.target),
-            loop=context.loop,
-        )
-        dialect = context.dialect
-        self.deadline_line = f"{dialect.deadline}: %d\r\n".encode()
-        self.expected_line = f"{dialect.expected}: %s\r\n".encode()
+        self.exchange = target_exchange.TargetExchange(context, self)
         self.gauge = pressure.Gauge()
-        self.speed = speed.Speed()
         self.objective_ms = OBJECTIVE_MS
         self.called_pressure: Callable[[], pressure.Pressure] = dict
         self.sweeping: asyncio.TimerHandle | None = None
@@ -67,9 +56,7 @@
     ) -> None:
         """Takes what the target says of itself."""
         if target_id != self.target_id:
-            # Connections to the one before carry nothing for this one.
-            self.pool.close()
-            self.speed = speed.Speed()
+            self.exchange.forget_target()
         self.target_id = target_id
         self.born = born
         self.slot_count = slot_count
@@ -96,7 +83,7 @@
             pressure=self.pressure(),
             leaving=bool(self.target_id) and not self.ready,
             born=self.born,
-            work_ms=round(self.speed.told_ms, 1),
+            work_ms=round(self.exchange.speed.told_ms, 1),
         )
 
     def pressure(self) -> pressure.Pressure:
@@ -124,9 +111,7 @@
             self.context.log.event(
                 "pressure",
                 level=round(self.gauge.level, 2),
-                running=self.queue.running,
-                waiting=self.queue.waiting,
-                slots=self.queue.slots,
+                **self.load(),
                 service_ms=round(self.queue.service_ms),
                 objective_ms=round(self.objective_ms),
             )
@@ -137,6 +122,14 @@
         """Requests that run or wait."""
         return self.queue.running + self.queue.waiting
 
+    def load(self) -> dict[str, int]:
+        """Returns running and waiting requests and slots, for the log."""
+        return {
+            "running": self.queue.running,
+            "waiting": self.queue.waiting,
+            "slots": self.queue.slots,
+        }
+
     def arrive(
         self,
         opening: frames.Open,
@@ -147,7 +140,7 @@
         """Takes a request with its whole body."""
         now = self.context.now
         job = job_module.Job(opening, expires_at, now, reply)
-        reason = self.reason_against(opening, expires_at, now)
+        reason = self.reason_against(job, now)
         if reason:
             self.refuse(job, reason)
             return job
@@ -172,9 +165,7 @@
             self.sweeping = self.loop.call_later(SWEEP_SECONDS, self.sweep)
         return job
 
-    def reason_against(
-        self, opening: frames.Open, expires_at: float, now: float
-    ) -> str:
+    def reason_against(self, job: job_module.Job, now: float) -> str:
         """Returns why a request can't be taken; empty when it can.
 
         The time is checked here, where the request would start: one that
@@ -183,142 +174,19 @@
         """
         if not self.ready:
             return "no_target"
-        if opening.target_id != self.target_id:
+        if job.opening.target_id != self.target_id:
             return "another_target"
-        if expires_at - now < LATE_MS:
+        if job.expires_at - now < LATE_MS:
             return "too_late"
         return ""
 
     def start(self, job: job_module.Job) -> None:
         """Hands a request that has a slot to the target."""
-        assert job.ticket is not None
         self.running[id(job)] = job
-        connection = self.pool.take(self.context.now)
-        if connection is not None:
-            self.hand_over(job, connection)
-            return
-        self.pool.dial(
-            lambda opened: self.dialled(job, opened),
-            lambda reason: self.not_dialled(job, reason),
-        )
-
-    def dialled(self, job: job_module.Job, connection: pool.Connection) -> None:
-        """Uses a connection that was opened for a request."""
-        if job.reply is None:
-            self.pool.give_back(connection, self.context.now)
-            return
-        reason = self.reason_against(
-            job.opening, job.expires_at, self.context.now
-        )
-        if reason:
-            self.pool.give_back(connection, self.context.now)
-            self.free(job)
-            self.refuse(job, reason)
-            return
-        self.hand_over(job, connection)
-
-    def not_dialled(self, job: job_module.Job, reason: str) -> None:
-        """Refuses a request for which no connection could be opened."""
-        if job.reply is None:
-            return
-        self.context.log.event(
-            "target_unreachable", id=job.opening.request_id, reason=reason
-        )
-        self.free(job)
-        self.refuse(job, "target_unreachable", at_target=True)
-
-    def hand_over(
-        self, job: job_module.Job, connection: pool.Connection
-    ) -> None:
-        """Writes a request to the target."""
-        opening, now = job.opening, self.context.now
-        job.connection = connection
-        job.handed_at = now
-        self.context.counts.observe("queue_seconds", now - job.arrived_at)
-        parts = [
-            f"{opening.method} {opening.path} HTTP/1.1\r\n".encode("latin-1"),
-            opening.head,
-            self.deadline_line % max(1, int(job.expires_at - now)),
-            self.expected_line % opening.target_id.encode(),
-        ]
-        if opening.body or opening.method not in ("GET", "HEAD", "DELETE"):
-            parts.append(b"Content-Length: %d\r\n" % len(opening.body))
-        parts.append(b"\r\n")
-        parts.append(opening.body)
-        connection.reader.bodiless = opening.method == "HEAD"
-        connection.send(
-            b"".join(parts),
-            lambda response: self.take_answer(job, response),
-            lambda reason: self.lose(job, reason),
-        )
-
-    def take_answer(self, job: job_module.Job, response: pool.Response) -> bool:
-        """Takes an answer; tells whether it is the one to this request."""
-        answer = job_module.read_answer(response, self.context.keys)
-        shown = answer.request_id
-        if shown is not None and shown != job.opening.request_id.encode():
-            return False
-        connection, job.connection = job.connection, None
-        assert connection is not None
-        now = self.context.now
-        if not answer.refused and not (shown is not None and answer.sealed):
-            connection.abort()
-            self.free(job)
-            self.end_lost(job, "answer_not_sealed")
-            return True
-        worked_ms = now - job.handed_at
-        self.context.counts.observe("target_seconds", worked_ms)
-        if response.status < status.SERVER_ERROR:
-            self.speed.note(worked_ms)
-        if now - job.arrived_at > job.opening.objective_ms * SLOW_OF_OBJECTIVE:
-            self.tell_slow(job, now)
-        self.pool.give_back(connection, now)
-        self.free(job)
-        if answer.refused:
-            self.refuse(job, f"target_{response.status}", at_target=True)
-        elif job.reply is not None:
-            reply, job.reply = job.reply, None
-            reply.answered(response.status, answer.head, response.body)
-        return True
-
-    def tell_slow(self, job: job_module.Job, now: float) -> None:
-        """Logs where the time of a slow request went."""
-        self.context.log.event(
-            "slow_at_target",
-            id=job.opening.request_id,
-            target=job.opening.target_id,
-            waited_ms=round(job.handed_at - job.arrived_at),
-            worked_ms=round(now - job.handed_at),
-            running=self.queue.running,
-            waiting=self.queue.waiting,
-            slots=self.queue.slots,
-        )
-
-    def lose(self, job: job_module.Job, reason: str) -> None:
-        """Takes that the connection ended without a whole answer."""
-        job.connection = None
-        self.free(job)
-        self.context.log.event(
-            "answer_lost",
-            id=job.opening.request_id,
-            target=job.opening.target_id,
-            reason=reason,
-            held_ms=round(self.context.now - job.handed_at),
-        )
-        self.end_lost(job, "answer_lost")
-
-    def end_lost(self, job: job_module.Job, code: str) -> None:
-        """Tells that the outcome of a request is unknown."""
-        reply, job.reply = job.reply, None
-        if reply is not None:
-            reply.lost(code)
+        self.exchange.start(job)
 
     def cancel(self, job: job_module.Job) -> None:
-        """Ends a request that nobody waits for.
-
-        The connection is cut: it tells the target to drop the request, and
-        its late answer can't reach another one.
-        """
+        """Ends a request that nobody waits for."""
         if job.reply is None:
             return
         job.reply = None
@@ -328,9 +196,7 @@
         if ticket.started_at < 0:
             self.queue.withdraw(ticket)
             return
-        if job.connection is not None:
-            job.connection.abort()
-            job.connection = None
+        self.exchange.drop(job)
         self.free(job)
 
     def free(self, job: job_module.Job) -> None:
@@ -351,7 +217,7 @@
             if ticket is None:
                 return
             job = ticket.item
-            reason = self.reason_against(job.opening, job.expires_at, now)
+            reason = self.reason_against(job, now)
             if reason:
                 self.queue.forfeit()
                 self.refuse(job, reason)
@@ -372,9 +238,7 @@
             id=job.opening.request_id,
             code=code,
             priority=job.opening.priority,
-            running=self.queue.running,
-            waiting=self.queue.waiting,
-            slots=self.queue.slots,
+            **self.load(),
             left_ms=round(job.expires_at - self.context.now),
         )
         reply.refused(code, at_target=at_target, retry_after_ms=after)
--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -150,7 +150,7 @@
             hold=self.background.hold,
         )
         self.beliefs = beliefs.Beliefs(
-            context, quotas=self.quotas, budgets=self.outbound.budgets
+            context, quotas=self.quotas, budgets=self.outbound.repeats.budgets
         )
         self.stopping = asyncio.Event()
         self.peer_heard = asyncio.Event()
@@ -194,14 +194,14 @@
     def call_frame(self, item: link.Link, frame: frames.Frame) -> None:
         """Takes a frame of a call, from either side of it."""
         if item.dialled:
-            self.outbound.frame(item, frame)
+            self.outbound.attempts.frame(item, frame)
         else:
             self.inbound.frame(item, frame)
 
     def link_lost(self, item: link.Link) -> None:
         """Ends the calls on a stream."""
         if item.dialled:
-            self.outbound.link_lost(item)
+            self.outbound.attempts.link_lost(item)
         else:
             self.inbound.link_lost(item)
 
@@ -209,9 +209,7 @@
         """Takes the rates of a new configuration."""
         catalog = self.context.catalog
         assert catalog is not None
-        self.quotas.configure(
-            outbound.workspace_rates(catalog), self.context.now
-        )
+        self.quotas.configure(catalog.rates(), self.context.now)
 
     # Probes and reports.
 
@@ -329,7 +327,7 @@
             )
             self.callers.sweep()
             self.beliefs.tell(now)
-            self.guard.pool.sweep(now)
+            self.guard.exchange.pool.sweep(now)
 
     def use_settings(self, settings: proxy_settings.ProxySettings) -> None:
         """Takes bounds that have changed; addresses need a new start."""
@@ -337,7 +335,7 @@
         self.context.settings = settings
         self.callers.intake.revoke_ms = settings.bounds.revoke_seconds * 1e3
         if settings.bounds != before.bounds:
-            self.outbound.budgets.clear()
+            self.outbound.repeats.budgets.clear()
         self.context.log.event(
             "settings_read",
             changed=settings != before,
@@ -389,6 +387,6 @@
         for connection in list(self.callers.connections):
             connection.end()
         self.peers.close()
-        self.guard.pool.close()
+        self.guard.exchange.pool.close()
         self.context.log.event("stopped")
         self.context.log.flush()
