Give node and peers one job each

peer.py holds one peer, telling.py the pace at which state and counts are told, news.py what a status holds and what is taken from one, shutdown.py leaving without a cut. No behaviour changes (tests/proxy, tests/models and tests/workspace pass; one import of constants follows them).

--- a/src/currantcart/proxy/config_feed.py
+++ b/src/currantcart/proxy/config_feed.py
@@ -10,6 +10,7 @@
 from currantcart.fleet import freshness
 from currantcart.proxy import context as proxy_context
 from currantcart.proxy import frames, link, peers
+from currantcart.proxy import peer as peer_module
 from currantcart.store import leased
 
 PUSH_AGAIN_MS = 300.0
@@ -171,7 +172,7 @@
             for item in list(peer.links())[:1]:
                 self.push_to(peer, item)
 
-    def push_to(self, peer: peers.Peer, item: link.Link) -> None:
+    def push_to(self, peer: peer_module.Peer, item: link.Link) -> None:
         """Sends the configuration to one peer, once a version and stream."""
         known = self.context.freshness
         if peer.version >= known.version or item.peer is None:
@@ -182,7 +183,7 @@
         item.send(frames.Config(known.version, known.as_of, self.document))
 
     def status_heard(
-        self, peer: peers.Peer, item: link.Link, status: frames.Status
+        self, peer: peer_module.Peer, item: link.Link, status: frames.Status
     ) -> None:
         """Takes a peer's word on how current its version is."""
         known = self.context.freshness
--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -20,9 +20,11 @@
     inbound,
     intake,
     link,
+    news,
     outbound,
     peers,
     registration,
+    shutdown,
     target_reports,
 )
 from currantcart.proxy import context as proxy_context
@@ -34,15 +36,6 @@
 SWEEP_TICKS = 10
 RESTART_SECONDS = 0.5
 PEER_SECONDS_MAX = 0.25
-LEAVE_MS = 1_900.0
-"""Time for which a node that drains still takes requests for its target."""
-STOP_TAKING_MS = 2_300.0
-"""Time after which a node that drains takes no more requests of callers.
-
-The platform asks once a second and takes a node out after two misses.
-"""
-GRACE_MARGIN_MS = 700.0
-DRAIN_TICK_SECONDS = 0.05
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -110,18 +103,29 @@
             parse=deployment.parse_config,
             on_change=self.config_changed,
         )
+        self.peer_heard = asyncio.Event()
+        self.news = news.News(
+            context,
+            own_guard=self.guard,
+            quotas=self.quotas,
+            record=self.record,
+            feed=self.feed,
+            on_heard=self.peer_heard.set,
+            on_left=lambda: self.registration.mark_dirty(),
+        )
         self.peers = peers.Peers(
             context,
-            status=self.status_for,
-            on_status=self.status_heard,
+            status=self.news.status_for,
+            on_status=self.news.status_heard,
             on_config=self.feed.config_heard,
             on_call_frame=self.call_frame,
             on_lost=self.link_lost,
             on_gone=lambda peer: self.quotas.forget(peer.member.process),
-            on_counts=self.counts_heard,
+            on_counts=self.news.counts_heard,
             hurried=self.quotas.hurried,
         )
         self.outbound.peers = self.peers
+        self.news.peers = self.peers
         self.guard.called_pressure = self.outbound.edge.called_pressure
         self.feed.peers = self.peers
         self.registration = registration.Registration(
@@ -153,43 +157,11 @@
             context, quotas=self.quotas, budgets=self.outbound.repeats.budgets
         )
         self.stopping = asyncio.Event()
-        self.peer_heard = asyncio.Event()
         self.found = asyncio.Event()
         self.ticks = 0
         self.add_gauges()
 
-    # What peers hear and say.
-
-    def status_for(self, item: link.Link) -> frames.Status:
-        """Returns the status for a stream."""
-        now = self.context.now
-        counts = item.untold(self.quotas.counts())
-        known = self.context.freshness
-        return frames.Status(
-            now_ms=now,
-            echo_ms=item.status_now,
-            held_ms=now - item.status_at,
-            version=known.version,
-            as_of_ms=known.as_of,
-            target=self.guard.state(),
-            counts=counts,
-            left=self.peers.left.get(item.peer.instance) if item.peer else None,
-        )
-
-    def status_heard(
-        self, peer: peers.Peer, item: link.Link, status: frames.Status
-    ) -> None:
-        """Takes a peer's status."""
-        self.peer_heard.set()
-        if status.left and self.record.hear_left(*status.left):
-            self.guard.refuse_target()
-            self.registration.dirty = True
-        self.feed.status_heard(peer, item, status)
-        self.counts_heard(peer, status.counts)
-
-    def counts_heard(self, peer: peers.Peer, counts: dict[str, int]) -> None:
-        """Takes what a peer has admitted."""
-        self.quotas.hear(peer.member.process, counts, self.context.now)
+    # What comes from peers.
 
     def call_frame(self, item: link.Link, frame: frames.Frame) -> None:
         """Takes a frame of a call, from either side of it."""
@@ -349,32 +321,20 @@
 
     # Shutdown.
 
+    def running(self) -> int:
+        """Returns how many requests are on their way or at the target."""
+        return len(self.outbound.calls) + len(self.guard.running)
+
     async def drain(self) -> int:
-        """Leaves without cutting a request; returns how many were cut.
-
-        Readiness fails first. Callers are sent on with the answers they get;
-        connections are closed only once the platform has had the time to
-        take this node out, and the process goes when nothing runs.
-        """
-        context = self.context
-        context.draining = True
-        started = context.now
-        context.log.event("draining", calls=len(self.outbound.calls))
-        self.peers.tell()
-        end = started + context.settings.bounds.grace_seconds * 1_000
-        end -= GRACE_MARGIN_MS
-        while context.now < end:
-            if not context.leaving and context.now - started >= LEAVE_MS:
-                context.leaving = True
-                self.peers.tell()
-            if context.now - started >= STOP_TAKING_MS:
-                context.closing = True
-                self.callers.close_idle()
-                if not self.outbound.calls and not self.guard.running:
-                    break
-            await asyncio.sleep(DRAIN_TICK_SECONDS)
+        """Leaves without cutting a request; returns how many were cut."""
+        cut = await shutdown.drain(
+            self.context,
+            running=self.running,
+            tell=self.peers.tell,
+            close_idle=self.callers.close_idle,
+        )
         await self.registration.end()
-        return len(self.outbound.calls) + len(self.guard.running)
+        return cut
 
     async def stop(self) -> None:
         """Closes everything."""
--- /dev/null
+++ b/src/currantcart/proxy/peer.py
@@ -0,0 +1,37 @@
+"""One peer, from the first word of it until it is gone."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from collections.abc import Iterable
+
+from currantcart.proxy import frames, link
+from currantcart.routing import picker
+
+
+@dataclasses.dataclass(slots=True)
+class Peer:
+    """A peer, from the first word of it until it is gone.
+
+    Attributes:
+      member: What it says of itself.
+      target: The target beside it.
+      outgoing: Stream on which this node opens calls to it.
+      incoming: Stream on which it opens calls to this node.
+      heard_at: When it was heard last, or first named.
+      version: Configuration version that it serves.
+    """
+
+    member: frames.Member
+    target: picker.Target
+    outgoing: link.Link | None = None
+    incoming: link.Link | None = None
+    dialling: asyncio.Task[None] | None = None
+    dial_after: float = 0.0
+    heard_at: float = 0.0
+    version: int = 0
+
+    def links(self) -> Iterable[link.Link]:
+        """Returns the streams that stand."""
+        return [item for item in (self.outgoing, self.incoming) if item]
--- a/src/currantcart/proxy/peers.py
+++ b/src/currantcart/proxy/peers.py
@@ -3,58 +3,19 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 from collections.abc import Callable, Iterable
 
 from currantcart.proxy import context as proxy_context
-from currantcart.proxy import frames, link, reach
+from currantcart.proxy import frames, link, reach, telling
+from currantcart.proxy import peer as peer_module
 from currantcart.proxy import settings as proxy_settings
 from currantcart.routing import picker
 
-STATUS_MS = 400.0
-COUNTS_MS = 60.0
-COUNTS_MS_PER_PEER = 0.5
-"""Pace at which the counts of workspaces near their limit are told.
-
-Each node admits on its own until it hears of the others: at 89 nodes that told
-counts with their statuses, each half a second, a workspace at four times its
-usual got 1,089 requests in five seconds where 990 were allowed.
-"""
-STATUS_MS_PER_PEER = 6.0
-SMALL_FLEET = 12
-"""Adds to the pace for each peer beyond a few: a node's cost stays bounded."""
 DIAL_SECONDS_MAX = 0.7
 REDIAL_MS = 300.0
 GONE_MS = 12_000.0
 
 
-@dataclasses.dataclass(slots=True)
-class Peer:
-    """A peer, from the first word of it until it is gone.
-
-    Attributes:
-      member: What it says of itself.
-      target: The target beside it.
-      outgoing: Stream on which this node opens calls to it.
-      incoming: Stream on which it opens calls to this node.
-      heard_at: When it was heard last, or first named.
-      version: Configuration version that it serves.
-    """
-
-    member: frames.Member
-    target: picker.Target
-    outgoing: link.Link | None = None
-    incoming: link.Link | None = None
-    dialling: asyncio.Task[None] | None = None
-    dial_after: float = 0.0
-    heard_at: float = 0.0
-    version: int = 0
-
-    def links(self) -> Iterable[link.Link]:
-        """Returns the streams that stand."""
-        return [item for item in (self.outgoing, self.incoming) if item]
-
-
 class Peers:
     """All peers of one node.
 
@@ -65,6 +26,7 @@
       own: The own target, as the router sees it.
       reach: Which targets can be reached now, and how full they are.
       left: Targets that were said to leave, by the instance beside them.
+      telling: Tells this node's state at its pace.
     """
 
     def __init__(
@@ -72,12 +34,12 @@
         context: proxy_context.Context,
         *,
         status: Callable[[link.Link], frames.Status],
-        on_status: Callable[[Peer, link.Link, frames.Status], None],
+        on_status: Callable[[peer_module.Peer, link.Link, frames.Status], None],
         on_config: Callable[[link.Link, frames.Config], None],
         on_call_frame: Callable[[link.Link, frames.Frame], None],
         on_lost: Callable[[link.Link], None],
-        on_gone: Callable[[Peer], None],
-        on_counts: Callable[[Peer, dict[str, int]], None],
+        on_gone: Callable[[peer_module.Peer], None],
+        on_counts: Callable[[peer_module.Peer, dict[str, int]], None],
         hurried: Callable[[], dict[str, int]],
     ) -> None:
         settings = context.settings
@@ -89,7 +51,6 @@
         self.on_lost = on_lost
         self.on_gone = on_gone
         self.on_counts = on_counts
-        self.hurried = hurried
         self.member = frames.Member(
             instance=settings.instance,
             process=context.process,
@@ -100,13 +61,11 @@
         self.own = picker.Target(
             settings.instance, settings.service, settings.failure_domain
         )
-        self.by_instance: dict[str, Peer] = {}
+        self.by_instance: dict[str, peer_module.Peer] = {}
         self.by_service: dict[str, list[picker.Target]] = {
             settings.service: [self.own]
         }
         self.accepted: set[link.Link] = set()
-        self.told_at = 0.0
-        self.hurried_at = 0.0
         self.left: dict[str, tuple[str, int]] = {}
         self.reach = reach.Reach(
             context,
@@ -114,10 +73,17 @@
             by_service=self.by_service,
             link_to=self.link_to,
         )
+        self.telling = telling.Telling(
+            context,
+            introduced=self.introduced,
+            peer_count=lambda: len(self.by_instance),
+            status=status,
+            hurried=hurried,
+        )
 
     # Members.
 
-    def learn(self, member: frames.Member) -> Peer | None:
+    def learn(self, member: frames.Member) -> peer_module.Peer | None:
         """Takes the word that a node exists."""
         if member.instance == self.member.instance:
             return None
@@ -129,7 +95,7 @@
         target = picker.Target(
             member.instance, member.service, member.failure_domain
         )
-        peer = Peer(member, target, heard_at=self.context.now)
+        peer = peer_module.Peer(member, target, heard_at=self.context.now)
         self.by_instance[member.instance] = peer
         self.by_service.setdefault(member.service, []).append(target)
         self.context.log.event(
@@ -142,7 +108,7 @@
         self.dial(peer)
         return peer
 
-    def drop(self, peer: Peer, reason: str) -> None:
+    def drop(self, peer: peer_module.Peer, reason: str) -> None:
         """Forgets a peer and cuts its streams."""
         self.by_instance.pop(peer.member.instance, None)
         self.by_service[peer.member.service].remove(peer.target)
@@ -173,7 +139,7 @@
             if lost and peer.member.instance not in named:
                 self.drop(peer, "not_named_and_silent")
 
-    def is_reached(self, peer: Peer) -> bool:
+    def is_reached(self, peer: peer_module.Peer) -> bool:
         """Tells whether a peer was heard lately."""
         silence = self.context.now - peer.heard_at
         return silence < link.silent_ms(self.context.pace_ms)
@@ -201,13 +167,13 @@
         self.accepted.add(accepted)
         return accepted
 
-    def dial(self, peer: Peer) -> None:
+    def dial(self, peer: peer_module.Peer) -> None:
         """Opens a stream to a peer unless there is one."""
         if peer.dialling is None and peer.outgoing is None:
             peer.dial_after = self.context.now + REDIAL_MS
             peer.dialling = self.context.loop.create_task(self.open(peer))
 
-    async def open(self, peer: Peer) -> None:
+    async def open(self, peer: peer_module.Peer) -> None:
         """Opens a stream to a peer."""
         try:
             async with asyncio.timeout(DIAL_SECONDS_MAX):
@@ -221,7 +187,7 @@
         finally:
             peer.dialling = None
 
-    def peer_of(self, item: link.Link) -> Peer | None:
+    def peer_of(self, item: link.Link) -> peer_module.Peer | None:
         """Returns the peer at the other end of a stream."""
         if item.peer is None:
             return None
@@ -245,7 +211,9 @@
                 stale.cut("replaced")
         item.send(self.status(item))
 
-    def drop_predecessors(self, peer: Peer, item: link.Link) -> None:
+    def drop_predecessors(
+        self, peer: peer_module.Peer, item: link.Link
+    ) -> None:
         """Forgets a peer at whose address another one answers.
 
         Addresses are used again; calls for the target that was there would go
@@ -334,9 +302,7 @@
 
     def tell(self) -> None:
         """Tells all peers this node's status now."""
-        self.told_at = self.context.now
-        for item in self.introduced():
-            item.tell(self.status(item))
+        self.telling.tell()
 
     def tick(self) -> None:
         """Tells the status when it is time, and notices silence."""
@@ -353,23 +319,7 @@
                 self.dial(peer)
         for item in list(self.accepted):
             item.check(now)
-        more = STATUS_MS_PER_PEER * max(0, len(self.by_instance) - SMALL_FLEET)
-        self.context.pace_ms = STATUS_MS + more
-        if now - self.told_at >= self.context.pace_ms:
-            self.tell()
-        wait = COUNTS_MS + COUNTS_MS_PER_PEER * len(self.by_instance)
-        if now - self.hurried_at >= wait:
-            self.hurried_at = now
-            self.tell_counts(self.hurried())
-
-    def tell_counts(self, counts: dict[str, int]) -> None:
-        """Tells all peers counts that can't wait for the next status."""
-        if not counts:
-            return
-        for item in self.introduced():
-            changed = item.untold(counts)
-            if changed:
-                item.send(frames.Counts(changed))
+        self.telling.tick(now)
 
     def close(self) -> None:
         """Cuts all streams."""
--- a/src/currantcart/proxy/registration.py
+++ b/src/currantcart/proxy/registration.py
@@ -84,6 +84,10 @@
         """Key of the own entry."""
         return self.prefix + self.member.instance
 
+    def mark_dirty(self) -> None:
+        """Has the entry written anew with the next step of `run`."""
+        self.dirty = True
+
     async def start(self) -> None:
         """Reads the entries, and what the process before left in its own."""
         while True:
--- a/src/currantcart/proxy/target_reports.py
+++ b/src/currantcart/proxy/target_reports.py
@@ -97,7 +97,7 @@
             slots=last.slots,
         )
         self.tell()
-        self.registration.dirty = True
+        self.registration.mark_dirty()
         if not ready:
             # The word that it leaves must outlive this process, and binds
             # from the acknowledgement on.
--- a/tests/workspace/test_quota.py
+++ b/tests/workspace/test_quota.py
@@ -4,7 +4,7 @@
 
 import random
 
-from currantcart.proxy import peers
+from currantcart.proxy import telling
 from currantcart.workspace import quota
 
 RATE, BURST = 200.0, 200.0
@@ -88,7 +88,7 @@
     what arrives in that time; the neighbours of the workspace pay for it.
     """
     fleet = Fleet(90)
-    pace = peers.COUNTS_MS + 90 * peers.COUNTS_MS_PER_PEER
+    pace = telling.COUNTS_MS + 90 * telling.COUNTS_MS_PER_PEER
     play(fleet, per_second=1_500, told_ms=round(pace))
     assert fleet.most_in_a_window() <= ALLOWED
     slow = Fleet(90)
