Count a node that said goodbye as gone, not as silent

Silent nodes are assumed to use their even part of each workspace's rate, so callers inside their rate were refused. That assumption guards against nodes behind a cut; a node that is stopped ends what it admits before it goes, and can say so.

The node tells its peers as the last thing before it cuts its streams. One that is killed says nothing and counts as silent as before; one that starts anew counts again. Ruled out: dropping the peer (the store's entry, which outlives it by a lease, would bring it back as silent).

--- a/src/currantcart/proxy/frames.py
+++ b/src/currantcart/proxy/frames.py
@@ -216,6 +216,10 @@
     data: bytes
 
 
+class Bye(msgspec.Struct, array_like=True, tag=12):
+    """The sender's process ends: it admits no request any more."""
+
+
 Frame = (
     Hello
     | Status
@@ -228,6 +232,7 @@
     | Cancel
     | Counts
     | Packed
+    | Bye
 )
 
 ENCODER = msgspec.msgpack.Encoder()
--- a/src/currantcart/proxy/link.py
+++ b/src/currantcart/proxy/link.py
@@ -73,6 +73,9 @@
     def counts_heard(self, link: Link, counts: frames.Counts) -> None:
         """Takes what a peer has admitted."""
 
+    def bye_heard(self, link: Link) -> None:
+        """Takes that the peer's process ends."""
+
     def call_frame(self, link: Link, frame: frames.Frame) -> None:
         """Takes a frame of a call."""
 
@@ -214,6 +217,8 @@
             self.owner.config_heard(self, frame)
         elif isinstance(frame, frames.Counts):
             self.owner.counts_heard(self, frame)
+        elif isinstance(frame, frames.Bye):
+            self.owner.bye_heard(self)
         else:
             self.owner.call_frame(self, frame)
 
--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -36,6 +36,8 @@
 SWEEP_TICKS = 10
 RESTART_SECONDS = 0.5
 PEER_SECONDS_MAX = 0.25
+BYE_SECONDS = 0.02
+"""Time for the goodbye to leave before the streams are cut."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -346,6 +348,8 @@
         # while their targets are at work.
         for connection in list(self.callers.connections):
             connection.end()
+        self.peers.say_bye()
+        await asyncio.sleep(BYE_SECONDS)
         self.peers.close()
         self.guard.exchange.pool.close()
         self.context.log.event("stopped")
--- a/src/currantcart/proxy/peer.py
+++ b/src/currantcart/proxy/peer.py
@@ -21,6 +21,7 @@
       incoming: Stream on which it opens calls to this node.
       heard_at: When it was heard last, or first named.
       version: Configuration version that it serves.
+      ended: Whether it said that its process ends.
     """
 
     member: frames.Member
@@ -31,6 +32,7 @@
     dial_after: float = 0.0
     heard_at: float = 0.0
     version: int = 0
+    ended: bool = False
 
     def links(self) -> Iterable[link.Link]:
         """Returns the streams that stand."""
--- a/src/currantcart/proxy/peers.py
+++ b/src/currantcart/proxy/peers.py
@@ -145,11 +145,15 @@
         return silence < link.silent_ms(self.context.pace_ms)
 
     def silent_share(self) -> float:
-        """Returns the part of the fleet that is not heard, 0 to 1."""
-        silent = sum(
-            not self.is_reached(peer) for peer in self.by_instance.values()
-        )
-        return silent / (len(self.by_instance) + 1)
+        """Returns the part of the fleet that is not heard, 0 to 1.
+
+        One that said goodbye is not silent but gone: counted as silent, it
+        would take its part of every workspace's rate with it until the store
+        forgets it.
+        """
+        living = [peer for peer in self.by_instance.values() if not peer.ended]
+        silent = sum(not self.is_reached(peer) for peer in living)
+        return silent / (len(living) + 1)
 
     def rank(self) -> int:
         """Returns this node's place among the live nodes, by name."""
@@ -282,6 +286,18 @@
         if peer is not None:
             self.on_counts(peer, counts.counts)
 
+    def bye_heard(self, item: link.Link) -> None:
+        """Takes that a peer's process ends."""
+        peer = self.peer_of(item)
+        if peer is not None and not peer.ended:
+            peer.ended = True
+            self.context.log.event("peer_ended", peer=peer.member.instance)
+
+    def say_bye(self) -> None:
+        """Tells all peers that this process ends."""
+        for item in self.introduced():
+            item.send(frames.Bye())
+
     def call_frame(self, item: link.Link, frame: frames.Frame) -> None:
         """Takes a frame of a call."""
         self.on_call_frame(item, frame)
