Give the repeats of a full budget to some chains whole; weigh waits by work

Now a call whose id continues the id of a request that runs at the target has its root's rank, and a lot that all calls of the chain share; where more is asked than the budget bears, chains up to a lot get all their repeats.

The wait is now estimated by what stands ahead and by the calls that will pass, the patience leaves time for the work, and counts what was waited elsewhere.

--- a/src/currantcart/call/budget.py
+++ b/src/currantcart/call/budget.py
@@ -1,9 +1,13 @@
-"""How many repeated arrivals a service gets from this node.
+"""How many repeated arrivals a service gets from this node, and for whom.
 
 All nodes together may send a service a ratio of its requests plus a fixed
 number again in any window. The ratio part each node keeps by counting its
 own requests; of the fixed part each node takes an even share, since a fault
 that makes one node repeat usually makes all of them repeat.
+
+Where more is asked than the budget bears, a part of the chains gets all the
+repeats that it needs and the others get none: a chain is of use only when all
+its calls succeed, and repeats spread evenly over all chains finish few of them.
 """
 
 from __future__ import annotations
@@ -11,13 +15,66 @@
 import collections
 
 BUCKETS = 10
-RATIO_KEPT = 0.8
+RATIO_KEPT = 0.9
 """Part of the allowed ratio that is used.
 
-A repeated request also repeats the calls that its target makes, and those
-count at services further down, where this node does not see them.
+What other nodes count may differ a little from what this one counts.
 """
 SLACK_KEPT = 0.75
+DECLINE_MAX = 1.25
+"""How much more than the present window an earlier one may count.
+
+Chains that fail early make fewer calls, so a service that turns requests away
+is asked less and would be repeated less. The bound counts an earlier window
+where it has more; each node sees only its own part, and callers that move from
+node to node must not count at both.
+"""
+STEP_MS = 100.0
+PACE = 1.25
+"""Pace at which the budget may be spent, as a multiple of an even one.
+
+Evenly spent, half of it would be left at the end of most faults; as fast as it
+is asked for, it is gone within seconds.
+"""
+CUT_RISE = 1.05
+CUT_FALL = 0.8
+CUT_LEAST = 0.02
+
+
+class Cut:
+    """Which part of the chains gets repeats, so that the budget lasts.
+
+    Attributes:
+      level: Chains with a lot up to this one get repeats, 0 to 1.
+    """
+
+    def __init__(self) -> None:
+        self.level = 1.0
+        self.at = 0.0
+        self.spent = 0
+
+    def update(
+        self, *, allowed: float, left: float, window_ms: float, now: float
+    ) -> None:
+        """Moves the level by what was spent since the last step.
+
+        Args:
+          allowed: Repeats that the budget bears in a window.
+          left: Those of them that were not sent yet.
+          window_ms: Length of the window.
+          now: Milliseconds of the node's clock.
+        """
+        passed = now - self.at
+        if passed < STEP_MS:
+            return
+        affordable = min(max(0.0, left), PACE * allowed * passed / window_ms)
+        if self.spent > affordable:
+            self.level *= max(CUT_FALL, affordable / self.spent)
+        else:
+            steps = passed / STEP_MS
+            self.level *= CUT_RISE ** min(steps, BUCKETS * 10)
+        self.level = min(1.0, max(CUT_LEAST, self.level))
+        self.at, self.spent = now, 0
 
 
 class RetryBudget:
@@ -27,6 +84,10 @@
       ratio: Repeats allowed for each request.
       slack: Repeats that this node may send beyond the ratio.
       window_ms: Length of the window.
+      requests: Requests of the present window, by bucket.
+      earlier: Requests of the window before.
+      repeats: Repeats of the present window.
+      cut: Which part of the chains gets repeats.
       refused_at: When it had none for one that asked.
     """
 
@@ -38,9 +99,11 @@
         self.requests: collections.deque[tuple[float, int]] = (
             collections.deque()
         )
+        self.earlier: collections.deque[tuple[float, int]] = collections.deque()
         self.repeats: collections.deque[tuple[float, int]] = collections.deque()
         self.request_sum = 0
         self.repeat_sum = 0
+        self.cut = Cut()
         self.refused_at = float("-inf")
 
     def note_request(self, now: float) -> None:
@@ -48,23 +111,35 @@
         self.add(self.requests, now)
         self.request_sum += 1
 
-    def take(self, now: float, *, share: float) -> bool:
+    def note_repeat(self, now: float) -> None:
+        """Counts an arrival that repeats another, whoever decided on it."""
+        self.add(self.repeats, now)
+        self.repeat_sum += 1
+
+    def take(self, now: float, *, share: float, lot: float = 0.0) -> bool:
         """Takes one repeat out of the budget, if there is one.
 
         Args:
           now: Milliseconds of the node's clock.
           share: This node's part of the fixed number, 0 to 1.
+          lot: Place of the request's chain among all chains, 0 to 1.
         """
         self.expire(now)
         allowed = (
-            self.ratio * RATIO_KEPT * self.request_sum
+            self.ratio * RATIO_KEPT * self.counted(now)
             + self.slack * SLACK_KEPT * share
         )
-        if self.repeat_sum + 1 > allowed:
+        self.cut.update(
+            allowed=allowed,
+            left=allowed - self.repeat_sum,
+            window_ms=self.window_ms,
+            now=now,
+        )
+        if self.repeat_sum + 1 > allowed or lot > self.cut.level:
             self.refused_at = now
             return False
-        self.add(self.repeats, now)
-        self.repeat_sum += 1
+        self.note_repeat(now)
+        self.cut.spent += 1
         return True
 
     def add(
@@ -78,15 +153,37 @@
         else:
             buckets.append((start, 1))
 
+    def counted(self, now: float) -> float:
+        """Returns the requests that the ratio applies to.
+
+        Those of the present window, of the one before it or of the one half
+        a window before it, whichever are most.
+        """
+        whole = now - self.window_ms - self.bucket_ms
+        half = whole + self.window_ms * 0.5
+        before = sum(count for at, count in self.earlier if at <= whole)
+        later = sum(
+            count
+            for at, count in self.earlier
+            if at >= now - 1.5 * self.window_ms
+        )
+        first = sum(count for at, count in self.requests if at <= half)
+        most = max(self.request_sum, before, later + first)
+        return min(most, DECLINE_MAX * self.request_sum)
+
     def expire(self, now: float) -> None:
-        """Forgets what lies before the window.
+        """Forgets what lies before the windows.
 
-        Requests are forgotten as soon as their bucket begins to leave the
-        window, repeats only when it has left whole, so that the rounding
-        never allows more.
+        Requests leave a window as soon as their bucket begins to leave it,
+        repeats only when it has left whole, so that the rounding never
+        allows more.
         """
         while self.requests and self.requests[0][0] < now - self.window_ms:
-            self.request_sum -= self.requests.popleft()[1]
+            left = self.requests.popleft()
+            self.request_sum -= left[1]
+            self.earlier.append(left)
+        while self.earlier and self.earlier[0][0] < now - 2 * self.window_ms:
+            self.earlier.popleft()
         oldest = now - self.window_ms - self.bucket_ms
         while self.repeats and self.repeats[0][0] < oldest:
             self.repeat_sum -= self.repeats.popleft()[1]
--- a/src/currantcart/proxy/call.py
+++ b/src/currantcart/proxy/call.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 
 from currantcart.admission import pressure
-from currantcart.call import attempt
+from currantcart.call import attempt, lineage
 from currantcart.proxy import frames, intake, link
 from currantcart.proxy import job as job_module
 from currantcart.routing import picker
@@ -23,6 +23,7 @@
       answer: Takes the final answer.
       started_at: When it was whole.
       expires_at: When its caller, or the operator, no longer waits.
+      lineage: What it has of the request at which its chain began.
       outcomes: What is known of each attempt.
       passed_over: Instances that had it already.
       guards: Guards that refused it.
@@ -33,6 +34,7 @@
     answer: Callable[[int, bytes, bytes], None]
     started_at: float
     expires_at: float
+    lineage: lineage.Lineage = lineage.UNKNOWN
     outcomes: list[attempt.Outcome] = dataclasses.field(default_factory=list)
     passed_over: set[str] = dataclasses.field(default_factory=set)
     guards: int = 0
--- a/src/currantcart/proxy/guard.py
+++ b/src/currantcart/proxy/guard.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from currantcart.admission import pressure, slots
+from currantcart.call import lineage
 from currantcart.proxy import context as proxy_context
 from currantcart.proxy import frames, target_exchange
 from currantcart.proxy import job as job_module
@@ -27,6 +28,7 @@
       ready: Whether it takes requests.
       queue: Its slots and the queue before them.
       running: Requests that have a slot, by identity.
+      by_request: The same, by the id of the request.
     """
 
     def __init__(self, context: proxy_context.Context) -> None:
@@ -39,6 +41,7 @@
         self.cold_until = 0.0
         self.queue: slots.SlotQueue[job_module.Job] = slots.SlotQueue()
         self.running: dict[int, job_module.Job] = {}
+        self.by_request: dict[str, job_module.Job] = {}
         self.exchange = target_exchange.TargetExchange(context, self)
         self.gauge = pressure.Gauge()
         self.objective_ms = OBJECTIVE_MS
@@ -112,7 +115,7 @@
                 "pressure",
                 level=round(self.gauge.level, 2),
                 **self.load(),
-                service_ms=round(self.queue.service_ms),
+                service_ms=round(self.queue.occupancy.mean_ms()),
                 objective_ms=round(self.objective_ms),
             )
         return changed
@@ -153,6 +156,7 @@
             now=now,
             objective_ms=opening.objective_ms,
             expires_at=expires_at,
+            age_ms=opening.age_ms,
         )
         if verdict is not slots.Verdict.REFUSE:
             self.gauge.note_offer(refused=False)
@@ -183,8 +187,14 @@
     def start(self, job: job_module.Job) -> None:
         """Hands a request that has a slot to the target."""
         self.running[id(job)] = job
+        self.by_request[job.opening.request_id] = job
         self.exchange.start(job)
 
+    def lineage_of(self, request_id: str) -> lineage.Lineage:
+        """Returns what a call of the own target has of the request above it."""
+        parent = self.by_request.get(lineage.parent_id(request_id))
+        return parent.lineage() if parent is not None else lineage.UNKNOWN
+
     def cancel(self, job: job_module.Job) -> None:
         """Ends a request that nobody waits for."""
         if job.reply is None:
@@ -203,6 +213,7 @@
         """Frees the slot of a request, once, and lets the next one start."""
         if self.running.pop(id(job), None) is None:
             return
+        self.by_request.pop(job.opening.request_id, None)
         assert job.ticket is not None
         self.queue.release(job.ticket, self.context.now)
         self.run_waiting()
@@ -219,7 +230,7 @@
             job = ticket.item
             reason = self.reason_against(job, now)
             if reason:
-                self.queue.forfeit()
+                self.queue.forfeit(ticket, now)
                 self.refuse(job, reason)
             else:
                 self.start(job)
--- a/src/currantcart/proxy/job.py
+++ b/src/currantcart/proxy/job.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from currantcart.admission import slots
+from currantcart.call import lineage
 from currantcart.http1 import pool, status
 from currantcart.proxy import dialect, frames
 
@@ -50,6 +51,15 @@
     connection: pool.Connection | None = None
     handed_at: float = -1.0
 
+    def lineage(self) -> lineage.Lineage:
+        """Returns what the calls have that the target makes for it."""
+        opening = self.opening
+        return lineage.Lineage(
+            rank=slots.root_rank(opening.priority),
+            lot=opening.lot if opening.lot >= 0.0 else None,
+            repeated=opening.repeated,
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerHead:
--- a/src/currantcart/proxy/outbound.py
+++ b/src/currantcart/proxy/outbound.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Callable
 
-from currantcart.admission import pressure, returns
-from currantcart.call import attempt
+from currantcart.admission import pressure, returns, slots
+from currantcart.call import attempt, lineage
 from currantcart.http1 import status as status_module
 from currantcart.proxy import attempts, edge, endings, guard, intake, parking
 from currantcart.proxy import call as call_module
@@ -82,6 +82,7 @@
         if call.expires_at - now < guard.LATE_MS:
             self.finish(call, 504, "deadline_exceeded")
             return None
+        self.place_in_chain(call)
         if request.internal:
             self.edge.note_called(service)
         elif by := self.edge.shed_by(call):
@@ -91,13 +92,22 @@
             call.retry_after_ms = intake.spread(after, self.context.rng)
             self.finish(call, 503, f"shed_for_{by}")
             return None
-        self.repeats.note_request(service, now)
+        self.repeats.note(call)
         call.timer = self.context.loop.call_later(
             (call.expires_at - now) / 1_000, self.expire, call
         )
         self.dispatch(call)
         return None if call.done else call
 
+    def place_in_chain(self, call: call_module.Call) -> None:
+        """Finds what a request has of the one at which its chain began."""
+        request = call.request
+        if not request.internal:
+            call.lineage = lineage.of_root(request.request_id, request.priority)
+            return
+        call.lineage = self.guard.lineage_of(request.request_id)
+        request.priority = slots.call_priority(call.lineage.rank)
+
     def pressure_on(self, service: str) -> pressure.Pressure:
         """Returns how full a service and those below it are."""
         assert self.peers is not None
--- a/src/currantcart/proxy/repeats.py
+++ b/src/currantcart/proxy/repeats.py
@@ -36,9 +36,16 @@
             )
         return found
 
-    def note_request(self, service: str, now: float) -> None:
-        """Counts a request for a service."""
-        self.budget_of(service).note_request(now)
+    def note(self, call: call_module.Call) -> None:
+        """Counts a request for a service.
+
+        What a further run calls counts as repeats at the services below.
+        """
+        kept, now = self.budget_of(call.service), self.context.now
+        if call.lineage.repeated:
+            kept.note_repeat(now)
+        else:
+            kept.note_request(now)
 
     def take(self, call: call_module.Call) -> bool:
         """Takes a repeat for a request, if route, time and budget allow."""
@@ -48,5 +55,18 @@
             and call.handed_to_targets < route.attempts_max
             and call.expires_at - now > guard.LATE_MS * 2
         )
-        share = 1.0 / self.node_count()
-        return allowed and self.budget_of(call.service).take(now, share=share)
+        if not allowed:
+            return False
+        return self.budget_of(call.service).take(
+            now, share=1.0 / self.node_count(), lot=self.lot_of(call)
+        )
+
+    def lot_of(self, call: call_module.Call) -> float:
+        """Returns the place of a request among those that want a repeat.
+
+        A root needs this one repeat alone, so it comes first.
+        """
+        if not call.request.internal:
+            return 0.0
+        known = call.lineage.lot
+        return self.context.rng.random() if known is None else known
--- /dev/null
+++ b/tests/proxy/test_chains.py
@@ -0,0 +1,102 @@
+"""Calls that targets make of their own, and the requests above them."""
+
+from __future__ import annotations
+
+from bench.standins import http_target
+from currantcart.admission import slots
+from currantcart.call import lineage
+from currantcart.proxy import call as call_module
+from tests.fakes import mesh as fake_mesh
+
+
+def silent(seen: http_target.Seen) -> None:
+    """Gives no answer."""
+    del seen
+
+
+async def running(
+    mesh: fake_mesh.Mesh, place: fake_mesh.Place, request_id: str
+) -> fake_mesh.Caller:
+    """Starts a request that its target does not answer."""
+    place.target.script = silent
+    caller = await mesh.connect(place)
+    caller.send(fake_mesh.request(request_id=request_id))
+    await mesh.settle(0.1)
+    assert place.node.guard.queue.running == 1
+    return caller
+
+
+async def call_of(
+    mesh: fake_mesh.Mesh, place: fake_mesh.Place, request_id: str
+) -> call_module.Call:
+    """Makes a call of the target's own; returns it as its node keeps it."""
+    caller = await mesh.connect(place)
+    caller.send(fake_mesh.request("/inner/1", request_id=request_id, key=None))
+    await mesh.settle(0.1)
+    return next(
+        call
+        for call in place.node.outbound.calls
+        if call.request.request_id == request_id
+    )
+
+
+async def test_a_call_has_the_rank_and_the_lot_of_its_root(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    place = await mesh.add("a")
+    await mesh.settle()
+    await running(mesh, place, "9c4")
+    root = next(iter(place.node.outbound.calls))
+    call = await call_of(mesh, place, "9c4.7b4")
+    assert call.lineage == root.lineage
+    assert call.request.priority < slots.CALLS_PRIORITY
+    assert slots.root_rank(call.request.priority) == root.request.priority
+
+
+async def test_a_call_of_a_call_has_them_as_well(mesh: fake_mesh.Mesh) -> None:
+    place = await mesh.add("a")
+    await mesh.settle()
+    await running(mesh, place, "9c4")
+    root = next(iter(place.node.outbound.calls))
+    await call_of(mesh, place, "9c4.7b4")
+    deeper = await call_of(mesh, place, "9c4.7b4.a1")
+    assert deeper.lineage == root.lineage
+
+
+async def test_nothing_is_assumed_of_a_call_with_an_id_of_another_form(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """An id is no proof: only that of a request that runs here is.
+
+    Taken on trust, a call could be put before what it doesn't belong to.
+    """
+    place = await mesh.add("a")
+    await mesh.settle()
+    await running(mesh, place, "9c4")
+    for request_id in ("e51", "e51.7b4", "9c", "9c45.1"):
+        call = await call_of(mesh, place, request_id)
+        assert call.lineage == lineage.UNKNOWN
+        assert call.request.priority == slots.CALLS_PRIORITY
+
+
+async def test_calls_of_a_further_run_count_as_repeats(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """A target turns a request away, and another one runs it.
+
+    The calls of that run count as repeats as well. Counted as first ones,
+    they would allow the services below ever more repeats in a storm.
+    """
+    front = await mesh.add("a", service="other")
+    near = await mesh.add("b")
+    far = await mesh.add("c", domain="far")
+    await mesh.settle()
+    near.target.script = http_target.not_executed
+    far.target.script = silent
+    caller = await mesh.connect(front)
+    caller.send(fake_mesh.request(request_id="9c4"))
+    await mesh.settle(0.1)
+    call = await call_of(mesh, far, "9c4.7b4")
+    assert call.lineage.repeated
+    kept = far.node.outbound.repeats.budgets["grades"]
+    assert (kept.request_sum, kept.repeat_sum) == (0, 1)
