Tell what was lost by cause from decision logs; keep figures out of comments

currantcart losses FILE... totals lost requests by route and cause, joins a failed root with the call that failed farthest down its chain, weighs by what answers are worth, as table, JSON or picture. Rejections name their route and workspace. Comments of src/ keep reasons and lose figures and tuning stories; each constant of the pressure gauge has its own line.

--- a/src/currantcart/admission/connections.py
+++ b/src/currantcart/admission/connections.py
@@ -1,11 +1,9 @@
 """How many connections of callers a node keeps, and which it lets go.
 
 Callers that are refused come back on new connections and keep the old ones
-for as long as their idle time allows. In a burst, with up to two fifths of the
-callers repeating three times at once, 3,900 descriptors of a node were gone
-within some seconds of refusals. From then on it could neither accept nor reach
-its target; what waited in the kernel was read up to five seconds late, and 87
-requests were started whose callers had left.
+for as long as their idle time allows. Without a bound a burst of refusals
+uses up the node's descriptors. It can then neither accept nor reach its
+target, and reads what waited in the kernel only after its callers have left.
 """
 
 from __future__ import annotations
--- a/src/currantcart/admission/limit.py
+++ b/src/currantcart/admission/limit.py
@@ -1,7 +1,7 @@
 """Adaptive limit on the calls that run at one target at once.
 
-The announced slots are the upper bound, never a truth: a target that says 50
-and runs 10 queues the rest inside, where nothing can be shed. A plain latency
+The announced slots are the upper bound, never a truth: a target that runs fewer
+than it says queues the rest inside, where nothing can be shed. A plain latency
 gradient has the opposite fault: a target that became slower for good looks
 overloaded at any limit, and the gradient starves it. So each cut is a trial:
 it stays only if latency fell for it; otherwise the slower time is the new
--- a/src/currantcart/admission/pressure.py
+++ b/src/currantcart/admission/pressure.py
@@ -1,8 +1,8 @@
 """Shedding root requests before work is spent on chains that can't finish.
 
-A deep service that is full refuses calls one by one; with four calls in a
-chain, a quarter refused fails two thirds of the chains, and all the work above
-was for nothing. So a full target tells how much of the demand has to go, every
+A deep service that is full refuses calls one by one; a chain needs several of
+them in turn, so a few refusals fail most chains, and all the work above was
+for nothing. So a full target tells how much of the demand has to go, every
 node passes that up along the services that call each other, and the node where
 a request begins sheds it there: the least urgent first, before any work, with
 a word on when to come back.
@@ -15,21 +15,21 @@
 from collections.abc import Iterable
 
 STEP_MS = 100.0
+"""Time between two steps of the gauge."""
 RISE_PER_REFUSED = 0.3
 RISE_PER_WAIT = 0.02
 RISE_MOST = 0.12
+"""Most that one step adds.
+
+Demand takes some steps to come down to a deep service; a gauge that is much
+quicker than that swings between empty and full.
+"""
 FALL = 0.012
+"""What a step takes off; small, so that the gauge rests near its place."""
 FALL_WITH_ROOM = 0.06
+"""The same while slots are free: shedding then turns callers away in vain."""
 ROOM = 0.75
-"""Steps of the gauge, each 100 ms.
-
-It rises with the share that was refused and with the wait, and falls slowly:
-work takes some 0.2 to 0.4 s to come down to the deepest service, and a gauge
-that is much quicker than that swings between empty and full. It rests where
-some 4 in 100 are refused. With a quarter of the slots free it falls five times
-as fast: after a restart of all nodes it stood at 0.8 while 9 of 26 slots ran,
-and let the demand return only within six seconds.
-"""
+"""Part of the slots in use below which there is room."""
 TOLD_CHANGE = 0.04
 MOST = 0.9
 LEAST = 0.01
--- a/src/currantcart/admission/returns.py
+++ b/src/currantcart/admission/returns.py
@@ -3,14 +3,9 @@
 What is refused is refused for a moment's surplus of demand; the next moment
 has room, or the demand stays too high and every moment is as good as another.
 So a caller is best told the latest moment at which its answer would still
-meet the latency objective. Told the moment at which the next token is due,
-some tens of milliseconds, all that were refused come back into the same
-surplus and spend the one return that they have.
-
-In `tests/admission/test_returns.py`, a workspace whose demand stands at three
-times its rate for one second in six gets 88 in 100 of its worth with this
-wait and 81 with the token's; at four times its rate for twenty seconds, 38
-and 38, and 35 with a wait of 1.2 s, whose answers come too late.
+meet the latency objective. Told the moment at which the next token is due, all
+that were refused come back into the same surplus and spend the one return
+that they have.
 """
 
 from __future__ import annotations
@@ -18,9 +13,8 @@
 WAIT_OF_OBJECTIVE = 0.4
 """Part of the latency objective that a refused caller waits.
 
-The wait is spread by a quarter each way, and the work takes up to four tenths
-of the objective: with more, answers to those that return are late; with less,
-fewer of them find room.
+With more, answers to those that return are late; with less, fewer of them
+find room.
 """
 WAIT_MS_MAX = 2_000.0
 
--- a/src/currantcart/admission/slots.py
+++ b/src/currantcart/admission/slots.py
@@ -21,14 +21,14 @@
 SLOTS_USED = 0.93
 """Part of a target's slots that is used at once.
 
-Targets slow down when they are nearly full (by 1.3 above 95 in 100 at the
-heaviest deployments seen), and a new connection may hold a slot as well.
+Targets slow down when they are nearly full, and a new connection may hold a
+slot as well.
 """
 WAIT_OF_OBJECTIVE = 0.45
 """Part of the latency objective that may be spent waiting.
 
 The rest is for the work and the way back: an answer that comes after the
-objective is worth a third or so, and its slot would have served another.
+objective is worth less, and its slot would have served another.
 """
 WAIT_OF_TIME_LEFT = 0.5
 CALLS_PRIORITY = 0
--- a/src/currantcart/admission/speed.py
+++ b/src/currantcart/admission/speed.py
@@ -13,10 +13,9 @@
 class Speed:
     """Smoothed time of a target's work, as a geometric mean.
 
-    A service's requests differ by ten times in work. One in twenty-five that
-    takes sixteen times as long makes the arithmetic mean of alike targets
-    differ by two. The geometric means of 200 alike targets lay between 56 and
-    72 ms, and a target that does all at half the speed is as plain in them.
+    A service's requests differ widely in work, and the arithmetic means of
+    alike targets differ with the few long ones that each happens to get. The
+    geometric mean hardly feels those, and a slow target is as plain in it.
 
     Attributes:
       log_ms: Mean logarithm of what was measured lately.
--- a/src/currantcart/call/allowance.py
+++ b/src/currantcart/call/allowance.py
@@ -1,7 +1,7 @@
 """Retry allowance of one root call, and the retry ratio of one node.
 
-Retries multiply at each hop of a deep chain: three attempts at each of five
-levels are 243 calls for one payment. Here one allowance is created with the
+Retries multiply at each hop of a deep chain: each level repeats all that the
+levels below it have repeated. Here one allowance is created with the
 root call and only ever divided, so the whole chain retries at most that often.
 """
 
--- a/src/currantcart/call/token.py
+++ b/src/currantcart/call/token.py
@@ -48,7 +48,7 @@
 def mac_of(key: bytes, payload: bytes) -> bytes:
     """Returns the signature of a payload.
 
-    Keyed BLAKE2 (RFC 7693) is a MAC by itself and costs a third of HMAC,
+    Keyed BLAKE2 (RFC 7693) is a MAC by itself and costs less than HMAC,
     which sets up two hashes; each call signs one token.
     """
     return hashlib.blake2s(payload, key=key, digest_size=MAC_BYTES).digest()
--- a/src/currantcart/cli/logs.py
+++ b/src/currantcart/cli/logs.py
@@ -11,10 +11,13 @@
 from cleo.io.inputs.option import Option
 
 from currantcart import errors
-from currantcart.cli import base, output
-from currantcart.telemetry import timeline
+from currantcart.cli import base, output, pictures
+from currantcart.telemetry import losses, timeline
 
 WAY_COLUMNS = ["at_ms", "instance", "event", "what"]
+LOSS_COLUMNS = [
+    "route", "cause", "requests", "worth", "share", "worst_second",
+]  # fmt: skip
 DAY_COLUMNS = ["second", "version", "pressure", "changes", "failed"]
 
 
@@ -57,39 +60,23 @@
     return " ".join(f"{name}:{n}" for name, n in counts.most_common())
 
 
-def draw(made: list[timeline.Slice], target: pathlib.Path) -> None:
-    """Draws a timeline as a picture.
+def parse_worth(text: str) -> tuple[str, losses.Worth]:
+    """Reads `ROUTE=WORTH` or `ROUTE=WORTH:LATE`.
 
     Raises:
-      errors.CurrantcartError: The drawing library is not there.
+      base.UsageError: It is neither.
     """
+    route, _, numbers = text.partition("=")
+    in_time, _, late = numbers.partition(":")
     try:
-        from matplotlib import figure
-    except ImportError as error:
-        raise errors.CurrantcartError(
-            errors.Code.NOT_FOUND,
-            errors.Step.COMMAND,
-            "--picture needs matplotlib",
-        ) from error
-    start = made[0].start
-    seconds = [item.start - start for item in made]
-    drawn = figure.Figure(figsize=(10, 6))
-    failed, changed = drawn.subplots(2, 1, sharex=True)
-    codes = sorted({code for item in made for code in item.ends})
-    failed.stackplot(
-        seconds, [[item.ends[code] for item in made] for code in codes],
-        labels=codes,
-    )  # fmt: skip
-    failed.set_ylabel("failed a second")
-    if codes:
-        failed.legend(fontsize="x-small")
-    changed.step(seconds, [item.pressure for item in made], label="pressure")
-    changed.set_ylabel("highest pressure")
-    changed.set_xlabel("seconds")
-    for item in made:
-        if item.changes["config_taken"]:
-            changed.axvline(item.start - start, linewidth=0.3)
-    drawn.savefig(target)
+        if not route:
+            raise ValueError(text)
+        worth = losses.Worth(float(in_time), float(late or 0.0))
+    except ValueError:
+        raise base.UsageError(
+            f"--worth: found {text!r}, allowed: ROUTE=WORTH or ROUTE=WORTH:LATE"
+        ) from None
+    return route, worth
 
 
 class IncidentCommand(base.BaseCommand):
@@ -126,5 +113,54 @@
         ]
         output.table(self, DAY_COLUMNS, rows)
         if self.option("picture"):
-            draw(made, pathlib.Path(self.option("picture")))
+            pictures.draw_day(made, pathlib.Path(self.option("picture")))
+        return 0
+
+
+class LossesCommand(base.BaseCommand):
+    """Totals what was lost, by cause."""
+
+    name = "losses"
+    description = "Totals the requests that were lost by cause, from logs."
+    arguments: ClassVar[list[Argument]] = [
+        argument("files", "Log files or folders.", multiple=True)
+    ]
+    options: ClassVar[list[Option]] = [
+        base.JSON_OPTION,
+        option(
+            "worth",
+            None,
+            "What an answer is worth: ROUTE=WORTH[:LATE].",
+            flag=False,
+            multiple=True,
+        ),
+        option("picture", None, "Draw it into a file.", flag=False),
+    ]
+
+    def handle(self) -> int:
+        """Reads the files and tells each cause, the costliest first."""
+        worths = dict(map(parse_worth, self.option("worth")))
+        lines = timeline.read(log_files(self.argument("files")))
+        found = losses.of(lines, worths)
+        if not found:
+            raise errors.CurrantcartError(
+                errors.Code.NOT_FOUND,
+                errors.Step.COMMAND,
+                "the files tell of no lost request",
+            )
+        total = sum(loss.worth for loss in found)
+        rows = [
+            [
+                loss.route,
+                loss.cause,
+                str(loss.requests),
+                f"{loss.worth:.1f}",
+                f"{loss.worth / total:.3f}" if total else "0.000",
+                str(loss.worst_second()),
+            ]
+            for loss in found
+        ]
+        output.table(self, LOSS_COLUMNS, rows)
+        if self.option("picture"):
+            pictures.draw_losses(found, pathlib.Path(self.option("picture")))
         return 0
--- a/src/currantcart/operation/register.py
+++ b/src/currantcart/operation/register.py
@@ -48,7 +48,7 @@
 
     Attributes:
       in_flight: Claims under way; beyond `IN_FLIGHT_MAX` calls are refused,
-        since the store takes a few hundred writes a second.
+        since the store takes a bounded number of writes a second.
       writes: For the cost of an operation.
     """
 
--- a/src/currantcart/proxy/config_feed.py
+++ b/src/currantcart/proxy/config_feed.py
@@ -78,7 +78,7 @@
     async def watch(self) -> None:
         """Reads the configuration as soon as the store tells of a change.
 
-        A change would otherwise wait for the next poll: 0.35 s in the mean.
+        A change would otherwise wait for the next poll.
         A watch proves nothing by its silence, for the store may have dropped
         its history or the connection may be dead, so the polls go on beside
         it. One node watches for all.
--- a/src/currantcart/proxy/frontend.py
+++ b/src/currantcart/proxy/frontend.py
@@ -137,6 +137,8 @@
             path=exchange.head.path[:80],
             status=rejection.status,
             code=rejection.code,
+            route=self.route_name(exchange.head),
+            workspace=rejection.workspace,
             version=self.context.freshness.version,
             age_ms=round(
                 min(1e9, self.context.freshness.age(self.context.now))
@@ -149,6 +151,14 @@
         )
         exchange.take_answer(rejection.status, head, body)
 
+    def route_name(self, head: intake.RequestHead) -> str:
+        """Returns the name of a request's route; empty if it has none."""
+        catalog = self.context.catalog
+        if catalog is None:
+            return ""
+        found = catalog.match(head.host, head.path.partition("?")[0])
+        return found.name if found is not None else ""
+
     def sweep(self) -> None:
         """Closes connections that are idle or too slow."""
         now = self.context.now
--- a/src/currantcart/proxy/inbound.py
+++ b/src/currantcart/proxy/inbound.py
@@ -13,8 +13,8 @@
 """Time on the way beyond which a request isn't taken any more.
 
 Its caller may have left meanwhile, and the word of that lies behind it in the
-same queue: a link that came back after five seconds delivered a dozen requests
-and their cancels at once, and all of them were started.
+same queue: a link that comes back delivers requests and their cancels at once,
+and all of the requests would be started first.
 """
 
 
--- a/src/currantcart/proxy/intake.py
+++ b/src/currantcart/proxy/intake.py
@@ -85,11 +85,13 @@
       status: HTTP status.
       code: Why.
       retry_after_ms: When coming back may help; 0 says nothing.
+      workspace: Whose request it is, where that is known.
     """
 
     status: int
     code: str
     retry_after_ms: float = 0.0
+    workspace: str = ""
 
 
 NOT_READY = Rejection(503, "not_ready", NOT_READY_RETRY_MS)
@@ -206,7 +208,7 @@
             after = returns.return_after_ms(
                 objective_ms=objective_ms, least_ms=wait_ms
             )
-            return Rejection(429, "rate_exceeded", after)
+            return Rejection(429, "rate_exceeded", after, found.name)
         return found
 
 
--- a/src/currantcart/proxy/link.py
+++ b/src/currantcart/proxy/link.py
@@ -34,8 +34,8 @@
 
 It gets no new call then, as long as another one can take it. A peer that has
 gone silent keeps the load that it told last, and looks the emptier the more
-the others fill up: in a burst, 262 requests of 1.3 s went to one that was cut
-off, until its stream was suspect.
+the others fill up: in a burst, most requests would go to the one that is cut
+off, until its stream is suspect.
 """
 REASONS = frozenset(
     {"silent", "closed", "replaced", "started_anew", "stopping"}
--- a/src/currantcart/proxy/reach.py
+++ b/src/currantcart/proxy/reach.py
@@ -57,9 +57,9 @@
         """Returns the targets of a service that can be reached now.
 
         Those whose peers owe a sign of life are left out, unless there are
-        no others. The list is kept for some milliseconds, unless a target or
-        a stream changes: going through thirty streams for each request costs
-        more than routing it.
+        no others. The list is kept for a moment, unless a target or a stream
+        changes: going through all streams for each request costs more than
+        routing it.
         """
         now = self.context.now
         at, kept = self.reached.get(service, (0.0, []))
--- a/src/currantcart/routing/picker.py
+++ b/src/currantcart/routing/picker.py
@@ -121,9 +121,8 @@
         """Returns what a request costs at a target; lower is better.
 
         A slot of a slow target is free again later, so its load counts for
-        more. With load alone, two targets of which one works twice as long
-        would have equal queues, and one in nine requests would be late at
-        nine tenths of what they can do together; so weighed, none is.
+        more. With load alone, a fast target and a slow one would have equal
+        queues, and those in the slow one's would be late.
         """
         cost = target.load()
         if fastest_ms and target.work_ms > fastest_ms * SPEED_TOLERANCE:
--- a/src/currantcart/routing/score.py
+++ b/src/currantcart/routing/score.py
@@ -1,9 +1,10 @@
 """Cost of sending one more call to a target; the least cost wins.
 
 The cost of utilization rises in three regions, as the marginal costs in
-"Content-aware Load Balancing for Distributed Backup", section 4.1: slowly to
-80%, faster to 100%, steeply above. So the distance between failure domains
-decides among targets with room, and is small beside a target near its limit.
+"Content-aware Load Balancing for Distributed Backup", section 4.1: slowly,
+then faster, then steeply where the target is over its limit. So the distance
+between failure domains decides among targets with room, and is small beside a
+target near its limit.
 """
 
 from __future__ import annotations
--- a/src/currantcart/run.py
+++ b/src/currantcart/run.py
@@ -39,6 +39,7 @@
     fleet.StatusCommand,
     fleet.ExplainCommand,
     logs.IncidentCommand,
+    logs.LossesCommand,
     proxy.ProxyCommand,
     proxy.ProxyCheckCommand,
     proxy.ConfigCheckCommand,
--- a/src/currantcart/wire/call_stream.py
+++ b/src/currantcart/wire/call_stream.py
@@ -239,8 +239,7 @@
         """Forgets the call on its stream, and drops what it refers to.
 
         The call refers back to this stream. Left to the garbage collector,
-        some twenty objects a call pile up, and its pauses of 5 to 40 ms are
-        the slowest calls.
+        many objects a call pile up, and its pauses are the slowest calls.
         """
         self.forget(self.call_number)
         self.on_reset = None
--- a/src/currantcart/wire/codec.py
+++ b/src/currantcart/wire/codec.py
@@ -38,9 +38,9 @@
 class FrameReader:
     """Cuts one stream's bytes into messages, with all sizes bounded.
 
-    msgpack's own streaming `Unpacker` keeps 46 KB for each stream, which at a
-    thousand streams is more than control may hold; frames of a known length
-    need nothing between them.
+    msgpack's own streaming `Unpacker` keeps a large buffer for each stream,
+    which with many streams is more than control may hold; frames of a known
+    length need nothing between them.
 
     Attributes:
       rest: Bytes of a frame that is not whole yet.
--- a/tests/cli/test_logs.py
+++ b/tests/cli/test_logs.py
@@ -9,6 +9,7 @@
 from cleo.testers import command_tester
 
 from currantcart import errors, run
+from currantcart.cli import base
 from tests.fakes import mesh as fake_mesh
 
 LINES = """
@@ -82,3 +83,68 @@
     path.write_text('{"version": "seven", "routes": 1}')
     with pytest.raises(errors.CurrantcartError, match=r"version"):
         tell("config check", str(path))
+
+
+LOST = """
+timestamp=2026-02-14T20:06:49.100+00:00 event=request_failed instance=n1 \
+id=r1 route=pay service=payments status=500 code=target_failed
+timestamp=2026-02-14T20:06:49.050+00:00 event=request_failed instance=n2 \
+id=r1.a1 route=index service=reports status=500 code=target_failed
+timestamp=2026-02-14T20:06:49.040+00:00 event=request_failed instance=n3 \
+id=r1.a1.b7 route=cache service=grades status=503 code=queue_full
+timestamp=2026-02-14T20:06:51.000+00:00 event=request_rejected instance=n1 \
+id=r2 route=read workspace=mill status=429 code=rate_exceeded
+timestamp=2026-02-14T20:06:51.200+00:00 event=request_rejected instance=n1 \
+id=r3 route=read workspace=mill status=429 code=rate_exceeded
+timestamp=2026-02-14T20:06:52.000+00:00 event=answered_late instance=n1 \
+id=r4 route=read outcomes=not_executed,answered after_ms=900
+timestamp=2026-02-14T20:06:52.500+00:00 event=answered instance=n1 \
+id=r5 route=read outcomes=answered
+"""
+
+
+@pytest.fixture
+def lost(tmp_path: pathlib.Path) -> pathlib.Path:
+    path = tmp_path / "n.log"
+    path.write_text(LOST)
+    return path
+
+
+def test_losses_are_told_by_route_and_cause(lost: pathlib.Path) -> None:
+    """A payment fails because a call three services down was refused.
+
+    Its own node only knows that the target failed; without the line of that
+    call, on-call looks for the fault in the wrong service.
+    """
+    words = f"{lost} --worth pay=3:1 --worth read=1:0.5 --json"
+    rows = json.loads(tell("losses", words))
+    assert [(row["route"], row["cause"], row["worth"]) for row in rows] == [
+        ("pay", "chain: queue_full at grades", "3.0"),
+        ("read", "rate_exceeded", "2.0"),
+        ("read", "late, 2 attempts", "0.5"),
+    ]
+    assert [row["worst_second"] for row in rows] == ["0", "1", "2"]
+    assert sum(float(row["share"]) for row in rows) == pytest.approx(
+        1, abs=0.01
+    )
+
+
+def test_losses_are_drawn(lost: pathlib.Path) -> None:
+    picture = lost.parent / "losses.png"
+    tell("losses", f"{lost} --picture {picture}")
+    assert picture.read_bytes().startswith(b"\x89PNG")
+
+
+@pytest.mark.parametrize("worth", ["pay", "pay=much", "=3", "pay=3:x"])
+def test_a_worth_that_is_none_is_a_usage_error(
+    lost: pathlib.Path, worth: str
+) -> None:
+    with pytest.raises(base.UsageError, match="--worth"):
+        tell("losses", f"{lost} --worth {worth}")
+
+
+def test_without_losses_the_command_says_so(tmp_path: pathlib.Path) -> None:
+    path = tmp_path / "calm.log"
+    path.write_text(LOST.splitlines()[-1])
+    with pytest.raises(errors.CurrantcartError, match="no lost request"):
+        tell("losses", str(path))
