--- a/src/currantcart/proxy/outbound.py
+++ b/src/currantcart/proxy/outbound.py
@@ -123,7 +123,10 @@
             self.refresh_own()
         targets = self.peers.reach.candidates(call.service)
         chosen = self.picker.choose(
-            targets, now=now, passed_over=call.passed_over
+            targets,
+            now=now,
+            passed_over=call.passed_over,
+            objective_ms=call.request.route.objective_ms,
         )
         if chosen is None:
             if not self.parking.hold(call):
--- a/src/currantcart/routing/picker.py
+++ b/src/currantcart/routing/picker.py
@@ -11,11 +11,15 @@
 import random
 from collections.abc import Iterable
 
-OTHER_DOMAIN = 1.7
+OTHER_DOMAIN_LEAST = 0.7
 """Load at which a target elsewhere is preferred to one of the own domain.
 
 Below it a target answers without waiting, so evenness would gain nothing.
 """
+OTHER_DOMAIN_MOST = 1.7
+"""The same for a request that can wait long: its bytes stay in the domain."""
+WAIT_OF_OBJECTIVE = 0.1
+"""Part of its objective that a request waits rather than leave its domain."""
 SAME_DOMAIN = 0.05
 COLD = 0.3
 JITTER = 0.02
@@ -102,6 +106,21 @@
             self.failure = 0.0
 
 
+def distance(objective_ms: float, *, work_ms: float) -> float:
+    """Returns the load that another failure domain weighs.
+
+    Each load beyond the slots is a wait of about the work of one request.
+
+    Args:
+      objective_ms: Latency objective of the request; 0 when unknown.
+      work_ms: How long a target works on a request; 0 when unknown.
+    """
+    if not work_ms:
+        return OTHER_DOMAIN_LEAST
+    loads = WAIT_OF_OBJECTIVE * objective_ms / work_ms
+    return min(OTHER_DOMAIN_MOST, max(OTHER_DOMAIN_LEAST, loads))
+
+
 class Picker:
     """Chooses among targets.
 
@@ -117,7 +136,14 @@
         self.failure_domain = failure_domain
         self.rng = rng
 
-    def cost(self, target: Target, now: float, *, fastest_ms: float) -> float:
+    def cost(
+        self,
+        target: Target,
+        now: float,
+        *,
+        fastest_ms: float,
+        objective_ms: float = 0.0,
+    ) -> float:
         """Returns what a request costs at a target; lower is better.
 
         A slot of a slow target is free again later, so its load counts for
@@ -130,7 +156,7 @@
         if target.instance != self.instance:
             cost += SAME_DOMAIN
             if target.failure_domain != self.failure_domain:
-                cost += OTHER_DOMAIN
+                cost += distance(objective_ms, work_ms=fastest_ms)
         if target.cold_until > now:
             cost += COLD
         if target.failure:
@@ -138,7 +164,12 @@
         return cost + JITTER * self.rng.random()
 
     def choose(
-        self, targets: Iterable[Target], *, now: float, passed_over: set[str]
+        self,
+        targets: Iterable[Target],
+        *,
+        now: float,
+        passed_over: set[str],
+        objective_ms: float = 0.0,
     ) -> Target | None:
         """Returns the target for a request.
 
@@ -146,6 +177,7 @@
           targets: Targets of the service that can be reached.
           now: Milliseconds of the node's clock.
           passed_over: Instances that had the request already.
+          objective_ms: Latency objective of the request; 0 when unknown.
         """
         best: Target | None = None
         best_cost = 0.0
@@ -157,7 +189,9 @@
         known = [target.work_ms for target in allowed if target.work_ms]
         fastest_ms = min(known, default=0.0)
         for target in allowed:
-            cost = self.cost(target, now, fastest_ms=fastest_ms)
+            cost = self.cost(
+                target, now, fastest_ms=fastest_ms, objective_ms=objective_ms
+            )
             if best is None or cost < best_cost:
                 best, best_cost = target, cost
         return best
--- a/tests/routing/test_picker.py
+++ b/tests/routing/test_picker.py
@@ -256,3 +256,25 @@
         made.note(failed=True, now=1_000.0)
     assert made.failing(1_000.0) > 0.9
     assert made.failing(5_000.0) < 0.25
+
+
+@pytest.mark.parametrize(
+    ("objective_ms", "work_ms", "least", "most"),
+    [
+        (150.0, 90.0, 0.7, 0.7),
+        (300.0, 0.0, 0.7, 0.7),
+        (300.0, 25.0, 1.1, 1.3),
+        (5_000.0, 25.0, 1.7, 1.7),
+    ],
+    ids=["hurried", "unknown", "short work", "patient"],
+)
+def test_a_request_waits_in_its_domain_for_a_part_of_its_objective(
+    objective_ms: float, work_ms: float, least: float, most: float
+) -> None:
+    """Many small calls leave a domain in which they would wait a moment.
+
+    Their bytes cost more than the moment; a request that has no time to wait
+    goes where there is room.
+    """
+    found = picker.distance(objective_ms, work_ms=work_ms)
+    assert least <= found <= most
