Give a workspace the benefit of the doubt at a node that has just started

The part of the burst that a new bucket lacks goes uncounted for its first second. Tests of the bounds pass unchanged (tests/workspace, 62).

--- a/src/currantcart/workspace/quota.py
+++ b/src/currantcart/workspace/quota.py
@@ -19,6 +19,19 @@
 NEAR_SHARE = 0.5
 HURRIED_RATE_PER_MS = 0.02
 START_SHARE = 0.5
+FREE = 8.0
+FREE_OF_BURST = 0.1
+"""Requests that the others may have admitted without being counted: so many,
+or this part of the burst if that is more.
+
+Workspaces would else be refused inside their rate for a mere possibility.
+"""
+FREE_AT_START_MS = 1_000.0
+"""Time for which the part of the burst that a new bucket lacks goes uncounted.
+
+Nothing is known of the parts of the nodes then, and the burst is held back for
+the same reason already.
+"""
 LAG_MS = 500.0
 HURRIED_LAG_MS = 150.0
 """Times after which peers' admissions are heard, until the node says better."""
@@ -33,6 +46,7 @@
       burst: Most tokens.
       tokens: Tokens now; negative when the nodes together admitted too much.
       at: When `tokens` was right.
+      since: When the bucket was made.
       admitted: Requests that this node admitted since its start.
       refused_at: When it had no token last.
       unheard: What others have probably admitted and not told.
@@ -44,6 +58,7 @@
     burst: float
     tokens: float
     at: float
+    since: float
     admitted: int = 0
     refused_at: float = float("-inf")
     unheard: unheard.Unheard = dataclasses.field(
@@ -89,7 +104,7 @@
                 # A node that starts does not know what was admitted a moment
                 # ago; with whole bursts, a restart of all nodes would let
                 # each workspace have its burst twice in one window.
-                bucket = Bucket(rate_per_ms, most, most * START_SHARE, now)
+                bucket = Bucket(rate_per_ms, most, most * START_SHARE, now, now)
             else:
                 self.refill(bucket, now)
                 bucket.rate_per_ms, bucket.burst = rate_per_ms, most
@@ -138,8 +153,11 @@
         lag_ms = self.hurried_lag_ms if told_at_once else self.lag_ms
         if bucket.rate_per_ms < HURRIED_RATE_PER_MS:
             lag_ms = self.lag_ms
+        free = max(FREE, FREE_OF_BURST * bucket.burst)
+        if now - bucket.since < FREE_AT_START_MS:
+            free += bucket.burst * (1.0 - START_SHARE)
         return bucket.tokens - bucket.unheard.count(
-            now, nodes=self.nodes, lag_ms=lag_ms, burst=bucket.burst
+            now, nodes=self.nodes, lag_ms=lag_ms, free=free
         )
 
     def give_back(self, workspace: str) -> None:
--- a/src/currantcart/workspace/unheard.py
+++ b/src/currantcart/workspace/unheard.py
@@ -15,13 +15,6 @@
 """Time in which what is known of the nodes' parts loses half its weight."""
 PRIOR = 4.0
 """Requests, evenly divided, that stand for a workspace nothing is known of."""
-FREE = 8.0
-FREE_OF_BURST = 0.1
-"""Requests that the others may have admitted without being counted: so many,
-or this part of the burst if that is more.
-
-Workspaces would else be refused inside their rate for a mere possibility.
-"""
 STEP_MS = 10.0
 
 
@@ -69,7 +62,7 @@
         return (self.own + PRIOR / nodes) / (self.fleet + PRIOR)
 
     def count(
-        self, now: float, *, nodes: int, lag_ms: float, burst: float
+        self, now: float, *, nodes: int, lag_ms: float, free: float
     ) -> float:
         """Returns what the others have probably admitted and not told.
 
@@ -77,7 +70,7 @@
           now: Milliseconds of the node's clock.
           nodes: Nodes that admit, this one included.
           lag_ms: Time after which this node has heard of an admission.
-          burst: Most tokens of the workspace.
+          free: Requests of the others that aren't counted.
         """
         while self.recent and self.recent[0][0] <= now - lag_ms:
             told = self.recent.popleft()[1]
@@ -89,4 +82,4 @@
             # One request says nothing of how hard callers press.
             return 0.0
         others = (self.recent_sum - 1) * (1.0 / self.share(nodes) - 1.0)
-        return max(0.0, others - max(FREE, FREE_OF_BURST * burst))
+        return max(0.0, others - free)
