Tell hurried counts with each tick; know when they are heard

Cause: what a node counts as untold keeps some tokens back, rate times the exchange; counts due each 60 ms went out with each second tick of 50 ms and were held to be heard after 170 ms.

Counts go with each tick (45 ms and 0.5 ms for each peer, rounded up to ticks) and are held to be heard 20 ms later.

--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import math
 from collections.abc import Callable
 
 from currantcart import background
@@ -33,8 +34,9 @@
 from currantcart.workspace import quota
 
 TICK_SECONDS = 0.05
-TRANSIT_MS = 1_000 * TICK_SECONDS + 20.0
-"""Time from a moment at which something is due until peers have heard it."""
+TICK_MS = 1_000 * TICK_SECONDS
+TRANSIT_MS = 20.0
+"""Time from a moment at which something is told until peers have heard it."""
 SWEEP_TICKS = 10
 RESTART_SECONDS = 0.5
 PEER_SECONDS_MAX = 0.25
@@ -42,6 +44,11 @@
 """Time for the goodbye to leave before the streams are cut."""
 
 
+def heard_after_ms(pace_ms: float) -> float:
+    """Returns the time after which peers have heard what is told at a pace."""
+    return math.ceil(pace_ms / TICK_MS) * TICK_MS + TRANSIT_MS
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Deployment:
     """What the composition knows of the platform.
@@ -297,8 +304,8 @@
         self.quotas.set_silent(self.peers.silent_share(), now)
         self.quotas.set_fleet(
             nodes=len(self.peers.by_instance) + 1,
-            lag_ms=self.context.pace_ms + TRANSIT_MS,
-            hurried_lag_ms=self.peers.telling.counts_pace_ms() + TRANSIT_MS,
+            lag_ms=heard_after_ms(self.context.pace_ms),
+            hurried_lag_ms=heard_after_ms(self.peers.telling.counts_pace_ms()),
         )
         if self.ticks % SWEEP_TICKS == 0:
             self.callers.bound.limit = connections.caller_limit(
--- a/src/currantcart/proxy/telling.py
+++ b/src/currantcart/proxy/telling.py
@@ -11,7 +11,7 @@
 STATUS_MS_PER_PEER = 6.0
 """Added to the pace for each peer beyond a few: a node's cost stays bounded."""
 SMALL_FLEET = 12
-COUNTS_MS = 60.0
+COUNTS_MS = 45.0
 COUNTS_MS_PER_PEER = 0.5
 """Added to the pace at which counts are told that can't wait for a status.
 
--- a/tests/workspace/test_quota.py
+++ b/tests/workspace/test_quota.py
@@ -11,7 +11,7 @@
 from currantcart.workspace import quota
 
 RATE, BURST = 200.0, 200.0
-NOTICED_MS = link.suspect_ms(telling.STATUS_MS) + node_module.TRANSIT_MS
+NOTICED_MS = link.suspect_ms(telling.STATUS_MS) + node_module.TICK_MS
 ALLOWED = (RATE * 5 + BURST) * 1.1 + 20
 
 
