Doubt a workspace's callers less in a small fleet, and remember where they are

What goes uncounted is half of a burst less one and a half requests a node, a tenth of the burst at least; what is known of the parts fades in ten seconds and not in one and a half. All bounds of tests/workspace pass unchanged (62), at 16 and 91 nodes and 3 to 30 times the rate.

--- a/src/currantcart/workspace/quota.py
+++ b/src/currantcart/workspace/quota.py
@@ -19,12 +19,15 @@
 NEAR_SHARE = 0.5
 HURRIED_RATE_PER_MS = 0.02
 START_SHARE = 0.5
-FREE = 8.0
-FREE_OF_BURST = 0.1
-"""Requests that the others may have admitted without being counted: so many,
-or this part of the burst if that is more.
-
-Workspaces would else be refused inside their rate for a mere possibility.
+FREE_LEAST = 8.0
+FREE_OF_BURST_LEAST = 0.1
+FREE_OF_BURST = 0.5
+FREE_LOST_PER_NODE = 1.5
+"""Requests that the others may have admitted without being counted.
+
+Workspaces would else be refused inside their rate for a mere possibility. It
+is half of a burst, and less the more nodes there are, for each of them may
+admit one more than it should before it notices.
 """
 FREE_AT_START_MS = 1_000.0
 """Time for which the part of the burst that a new bucket lacks goes uncounted.
@@ -155,13 +158,25 @@
 
     def left(self, bucket: Bucket, now: float) -> float:
         """Returns the tokens that are left when the others are thought of."""
-        free = max(FREE, FREE_OF_BURST * bucket.burst)
-        if now - bucket.since < FREE_AT_START_MS:
-            free += bucket.burst * (1.0 - START_SHARE)
         return bucket.tokens - bucket.unheard.count(
-            now, nodes=self.nodes, lag_ms=self.lag_of(bucket, now), free=free
+            now,
+            nodes=self.nodes,
+            lag_ms=self.lag_of(bucket, now),
+            free=self.free(bucket, now),
         )
 
+    def free(self, bucket: Bucket, now: float) -> float:
+        """Returns the requests of others that go uncounted."""
+        burst = bucket.burst
+        free = max(
+            FREE_LEAST,
+            FREE_OF_BURST_LEAST * burst,
+            FREE_OF_BURST * burst - FREE_LOST_PER_NODE * self.nodes,
+        )
+        if now - bucket.since < FREE_AT_START_MS:
+            free += burst * (1.0 - START_SHARE)
+        return free
+
     def lag_of(self, bucket: Bucket, now: float) -> float:
         """Returns the time after which peers' admissions are heard.
 
--- a/src/currantcart/workspace/unheard.py
+++ b/src/currantcart/workspace/unheard.py
@@ -11,8 +11,11 @@
 
 import collections
 
-HALF_LIFE_MS = 1_500.0
-"""Time in which what is known of the nodes' parts loses half its weight."""
+HALF_LIFE_MS = 10_000.0
+"""Time in which what is known of the nodes' parts loses half its weight.
+
+Callers stay at their nodes for longer than most pauses between two requests.
+"""
 PRIOR = 4.0
 """Requests, evenly divided, that stand for a workspace nothing is known of."""
 STEP_MS = 10.0
