Take lots and pace out of the retry budget again

Ruled out: a bound on what is asked for that tells the two faults apart; both ask for more than the ratio from their first second on. So repeats go as they are asked for, out of the budget that counts earlier windows and further runs. The rank of a call's root and what is repeated stay known by its id.

--- a/src/currantcart/call/budget.py
+++ b/src/currantcart/call/budget.py
@@ -1,13 +1,9 @@
-"""How many repeated arrivals a service gets from this node, and for whom.
+"""How many repeated arrivals a service gets from this node.
 
 All nodes together may send a service a ratio of its requests plus a fixed
 number again in any window. The ratio part each node keeps by counting its
 own requests; of the fixed part each node takes an even share, since a fault
 that makes one node repeat usually makes all of them repeat.
-
-Where more is asked than the budget bears, a part of the chains gets all the
-repeats that it needs and the others get none: a chain is of use only when all
-its calls succeed, and repeats spread evenly over all chains finish few of them.
 """
 
 from __future__ import annotations
@@ -29,58 +25,6 @@
 where it has more; each node sees only its own part, and callers that move from
 node to node must not count at both.
 """
-STEP_MS = 100.0
-UNPACED = 0.25
-"""Part of the budget spent as it is asked for, since most faults are small."""
-LASTS = 0.4
-"""Part of a window for which the rest has to last at the present pace.
-
-A shorter fault gets all that it asks for; a longer one finds some left.
-"""
-CUT_RISE = 1.05
-CUT_FALL = 0.8
-CUT_LEAST = 0.02
-CUT_STEPS_MAX = 100.0
-"""Steps after which any level is back at one."""
-
-
-class Cut:
-    """Which part of the chains gets repeats, so that the budget lasts.
-
-    Attributes:
-      level: Chains with a lot up to this one get repeats, 0 to 1.
-    """
-
-    def __init__(self) -> None:
-        self.level = 1.0
-        self.at = 0.0
-        self.spent = 0
-
-    def update(
-        self, *, allowed: float, left: float, window_ms: float, now: float
-    ) -> None:
-        """Moves the level by what was spent since the last step.
-
-        Args:
-          allowed: Repeats that the budget bears in a window.
-          left: Those of them that were not sent yet.
-          window_ms: Length of the window.
-          now: Milliseconds of the node's clock.
-        """
-        passed = now - self.at
-        if passed < STEP_MS:
-            return
-        part = min(1.0, passed / (LASTS * window_ms))
-        affordable = max(0.0, left) * part
-        if left >= (1.0 - UNPACED) * allowed:
-            self.level = 1.0
-        elif self.spent > affordable:
-            self.level *= max(CUT_FALL, affordable / self.spent)
-        else:
-            steps = min(passed / STEP_MS, CUT_STEPS_MAX)
-            self.level *= CUT_RISE**steps
-        self.level = min(1.0, max(CUT_LEAST, self.level))
-        self.at, self.spent = now, 0
 
 
 class RetryBudget:
@@ -93,7 +37,6 @@
       requests: Requests of the present window, by bucket.
       earlier: Requests of the window before.
       repeats: Repeats of the present window.
-      cut: Which part of the chains gets repeats.
       refused_at: When it had none for one that asked.
     """
 
@@ -109,7 +52,6 @@
         self.repeats: collections.deque[tuple[float, int]] = collections.deque()
         self.request_sum = 0
         self.repeat_sum = 0
-        self.cut = Cut()
         self.refused_at = float("-inf")
 
     def note_request(self, now: float) -> None:
@@ -122,30 +64,22 @@
         self.add(self.repeats, now)
         self.repeat_sum += 1
 
-    def take(self, now: float, *, share: float, lot: float = 0.0) -> bool:
+    def take(self, now: float, *, share: float) -> bool:
         """Takes one repeat out of the budget, if there is one.
 
         Args:
           now: Milliseconds of the node's clock.
           share: This node's part of the fixed number, 0 to 1.
-          lot: Place of the request's chain among all chains, 0 to 1.
         """
         self.expire(now)
         allowed = (
             self.ratio * RATIO_KEPT * self.counted(now)
             + self.slack * SLACK_KEPT * share
         )
-        self.cut.update(
-            allowed=allowed,
-            left=allowed - self.repeat_sum,
-            window_ms=self.window_ms,
-            now=now,
-        )
-        if self.repeat_sum + 1 > allowed or lot > self.cut.level:
+        if self.repeat_sum + 1 > allowed:
             self.refused_at = now
             return False
         self.note_repeat(now)
-        self.cut.spent += 1
         return True
 
     def add(
--- a/src/currantcart/proxy/attempts.py
+++ b/src/currantcart/proxy/attempts.py
@@ -78,7 +78,6 @@
             head=request.head,
             body=request.body,
             more=0,
-            lot=-1.0 if call.lineage.lot is None else call.lineage.lot,
             age_ms=now - request.begun_at,
             repeated=call.lineage.repeated or call.handed_to_targets > 0,
         )
--- a/src/currantcart/proxy/frames.py
+++ b/src/currantcart/proxy/frames.py
@@ -134,7 +134,6 @@
       head: End-to-end header lines, each ending with CR LF.
       body: First part of the body.
       more: Bytes of the body that follow in `Data`.
-      lot: What all calls of the chain have in common; negative when unknown.
       repeated: Whether this run, or one above it, is a further one.
       age_ms: How long its caller had waited as it was sent.
     """
@@ -151,7 +150,6 @@
     head: bytes
     body: bytes
     more: int
-    lot: float = -1.0
     repeated: bool = False
     age_ms: float = 0.0
 
--- a/src/currantcart/proxy/job.py
+++ b/src/currantcart/proxy/job.py
@@ -53,11 +53,9 @@
 
     def lineage(self) -> lineage.Lineage:
         """Returns what the calls have that the target makes for it."""
-        opening = self.opening
         return lineage.Lineage(
-            rank=slots.root_rank(opening.priority),
-            lot=opening.lot if opening.lot >= 0.0 else None,
-            repeated=opening.repeated,
+            rank=slots.root_rank(self.opening.priority),
+            repeated=self.opening.repeated,
         )
 
 
--- a/src/currantcart/proxy/outbound.py
+++ b/src/currantcart/proxy/outbound.py
@@ -103,7 +103,7 @@
         """Finds what a request has of the one at which its chain began."""
         request = call.request
         if not request.internal:
-            call.lineage = lineage.of_root(request.request_id, request.priority)
+            call.lineage = lineage.Lineage(rank=request.priority)
             return
         call.lineage = self.guard.lineage_of(request.request_id)
         request.priority = slots.call_priority(call.lineage.rank)
--- a/src/currantcart/proxy/repeats.py
+++ b/src/currantcart/proxy/repeats.py
@@ -57,16 +57,5 @@
         )
         if not allowed:
             return False
-        return self.budget_of(call.service).take(
-            now, share=1.0 / self.node_count(), lot=self.lot_of(call)
-        )
-
-    def lot_of(self, call: call_module.Call) -> float:
-        """Returns the place of a request among those that want a repeat.
-
-        A root needs this one repeat alone, so it comes first.
-        """
-        if not call.request.internal:
-            return 0.0
-        known = call.lineage.lot
-        return self.context.rng.random() if known is None else known
+        share = 1.0 / self.node_count()
+        return self.budget_of(call.service).take(now, share=share)
