Let one piece serve where two stood, after a last reading of the change

Cause: read as a whole, the change held the same thing twice in places. The ends of an attempt were named by two equal protocols (attempts, local_reply); a request's route was matched by three copies of one line (intake, caller, frontend); the paces of telling stood in Telling and again in its tests; the id of a chain's root was taken apart beside call.lineage; two log commands spelt the same argument and option; two tests of budgets the same loop.

Change: each has one place now. Three comments lose figures. Ruled out: folding the fake fleets of the tests of rates into one (one tells at once, the other at each node's own moments).

Figures: behaviour stays.

--- a/src/currantcart/admission/connections.py
+++ b/src/currantcart/admission/connections.py
@@ -21,8 +21,8 @@
 CROWDED = 0.4
 """Part of the limit from which a caller that is refused is sent on.
 
-It comes back on a new connection anyway, so closing costs it nothing. A flood
-of a thousand refusals a second then leaves time to act on what is kept.
+It comes back on a new connection anyway, so closing costs it nothing, and a
+flood of refusals leaves time to act on what is kept.
 """
 NEARLY_FULL = 0.75
 """Part of the limit from which every answer closes its connection.
--- a/src/currantcart/admission/occupancy.py
+++ b/src/currantcart/admission/occupancy.py
@@ -1,6 +1,6 @@
 """What holds the slots of a target: calls of other targets, and roots.
 
-The two differ in work by ten times and more, and calls go first. One mean of
+The two differ widely in work, and calls go first. One mean of
 both says little about how long a root waits: what stands before it may be long
 roots, and calls that come later still pass it.
 """
--- a/src/currantcart/call/lineage.py
+++ b/src/currantcart/call/lineage.py
@@ -30,6 +30,11 @@
 UNKNOWN = Lineage()
 
 
+def root_id(request_id: str) -> str:
+    """Returns the id of the request at which a call's chain begins."""
+    return request_id.partition(SEPARATOR)[0]
+
+
 def parent_id(request_id: str) -> str:
     """Returns the id from which a call's id was built; empty for none."""
     return request_id.rpartition(SEPARATOR)[0]
--- a/src/currantcart/cli/logs.py
+++ b/src/currantcart/cli/logs.py
@@ -14,6 +14,8 @@
 from currantcart.cli import base, output, pictures
 from currantcart.telemetry import losses, timeline
 
+FILES_ARGUMENT = argument("files", "Log files or folders.", multiple=True)
+PICTURE_OPTION = option("picture", None, "Draw it into a file.", flag=False)
 WAY_COLUMNS = ["at_ms", "instance", "event", "what"]
 LOSS_COLUMNS = [
     "route", "cause", "requests", "worth", "share", "worst_second",
@@ -84,12 +86,10 @@
 
     name = "incident"
     description = "Tells what happened in each second, from decision logs."
-    arguments: ClassVar[list[Argument]] = [
-        argument("files", "Log files or folders.", multiple=True)
-    ]
+    arguments: ClassVar[list[Argument]] = [FILES_ARGUMENT]
     options: ClassVar[list[Option]] = [
         base.JSON_OPTION,
-        option("picture", None, "Draw it into a file.", flag=False),
+        PICTURE_OPTION,
     ]
 
     def handle(self) -> int:
@@ -122,9 +122,7 @@
 
     name = "losses"
     description = "Totals the requests that were lost by cause, from logs."
-    arguments: ClassVar[list[Argument]] = [
-        argument("files", "Log files or folders.", multiple=True)
-    ]
+    arguments: ClassVar[list[Argument]] = [FILES_ARGUMENT]
     options: ClassVar[list[Option]] = [
         base.JSON_OPTION,
         option(
@@ -134,7 +132,7 @@
             flag=False,
             multiple=True,
         ),
-        option("picture", None, "Draw it into a file.", flag=False),
+        PICTURE_OPTION,
     ]
 
     def handle(self) -> int:
--- a/src/currantcart/proxy/attempts.py
+++ b/src/currantcart/proxy/attempts.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from typing import Protocol
-
 from currantcart.call import attempt
 from currantcart.proxy import call as call_module
 from currantcart.proxy import context as proxy_context
@@ -14,28 +12,6 @@
 """Taken off the time that a target gets, for its answer's way back."""
 
 
-class Outcomes(Protocol):
-    """Takes how attempts end."""
-
-    def answered(
-        self, call: call_module.Call, status: int, head: bytes, body: bytes
-    ) -> None:
-        """Takes a target's whole answer."""
-
-    def refused(
-        self,
-        call: call_module.Call,
-        code: str,
-        *,
-        at_target: bool,
-        retry_after_ms: float,
-    ) -> None:
-        """Takes that the request did not run and never will."""
-
-    def lost(self, call: call_module.Call, code: str) -> None:
-        """Takes that the outcome is unknown."""
-
-
 class Attempts:
     """Hands requests to guards, the own one and those of peers."""
 
@@ -44,7 +20,7 @@
         context: proxy_context.Context,
         *,
         own_guard: guard.Guard,
-        outcomes: Outcomes,
+        outcomes: local_reply.Endings,
     ) -> None:
         self.context = context
         self.guard = own_guard
--- a/src/currantcart/proxy/caller.py
+++ b/src/currantcart/proxy/caller.py
@@ -176,8 +176,7 @@
         catalog = self.context.catalog
         if catalog is None or exchange.rejection is not None:
             return False
-        path, _, _ = exchange.head.path.partition("?")
-        route = catalog.match(exchange.head.host, path)
+        route = exchange.head.match(catalog)
         return route is not None and route.idempotent
 
     # Answering.
--- a/src/currantcart/proxy/frontend.py
+++ b/src/currantcart/proxy/frontend.py
@@ -156,7 +156,7 @@
         catalog = self.context.catalog
         if catalog is None:
             return ""
-        found = catalog.match(head.host, head.path.partition("?")[0])
+        found = head.match(catalog)
         return found.name if found is not None else ""
 
     def sweep(self) -> None:
--- a/src/currantcart/proxy/intake.py
+++ b/src/currantcart/proxy/intake.py
@@ -76,6 +76,12 @@
     lines: list[bytes] = dataclasses.field(default_factory=list)
     begun_at: float = 0.0
 
+    def match(
+        self, catalog: catalog_model.Catalog
+    ) -> catalog_model.Route | None:
+        """Returns the route of the request."""
+        return catalog.match(self.host, self.path.partition("?")[0])
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Rejection:
@@ -140,8 +146,7 @@
         """
         if catalog is None:
             return NOT_READY
-        path, _, _ = head.path.partition("?")
-        route = catalog.match(head.host, path)
+        route = head.match(catalog)
         current = known.age(now) < STALE_MS
         if route is None:
             return Rejection(404, "no_route") if current else NOT_READY
--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -27,6 +27,7 @@
     registration,
     shutdown,
     target_reports,
+    telling,
 )
 from currantcart.proxy import context as proxy_context
 from currantcart.proxy import settings as proxy_settings
@@ -302,10 +303,11 @@
         self.feed.tick()
         now = self.context.now
         self.quotas.set_silent(self.peers.silent_share(), now)
+        peer_count = len(self.peers.by_instance)
         self.quotas.set_fleet(
-            nodes=len(self.peers.by_instance) + 1,
+            nodes=peer_count + 1,
             lag_ms=heard_after_ms(self.context.pace_ms),
-            hurried_lag_ms=heard_after_ms(self.peers.telling.counts_pace_ms()),
+            hurried_lag_ms=heard_after_ms(telling.counts_pace_ms(peer_count)),
         )
         if self.ticks % SWEEP_TICKS == 0:
             self.callers.bound.limit = connections.caller_limit(
--- a/src/currantcart/proxy/telling.py
+++ b/src/currantcart/proxy/telling.py
@@ -20,6 +20,16 @@
 """
 
 
+def status_pace_ms(peers: int) -> float:
+    """Returns the time between two statuses of a node with so many peers."""
+    return STATUS_MS + STATUS_MS_PER_PEER * max(0, peers - SMALL_FLEET)
+
+
+def counts_pace_ms(peers: int) -> float:
+    """Returns the time between two tellings of counts that can't wait."""
+    return COUNTS_MS + COUNTS_MS_PER_PEER * peers
+
+
 class Telling:
     """Tells peers this node's state, and the counts that can't wait.
 
@@ -59,18 +69,13 @@
         for item in self.introduced():
             item.tell(self.status(item))
 
-    def counts_pace_ms(self) -> float:
-        """Returns the pace at which counts are told that can't wait."""
-        return COUNTS_MS + COUNTS_MS_PER_PEER * self.peer_count()
-
     def tick(self, now: float) -> None:
         """Tells what is due."""
         count = self.peer_count()
-        more = STATUS_MS_PER_PEER * max(0, count - SMALL_FLEET)
-        self.context.pace_ms = STATUS_MS + more
+        self.context.pace_ms = status_pace_ms(count)
         if now - self.told_at >= self.context.pace_ms:
             self.tell()
-        if now - self.hurried_at >= self.counts_pace_ms():
+        if now - self.hurried_at >= counts_pace_ms(count):
             self.hurried_at = now
             self.tell_counts(self.hurried())
 
--- a/src/currantcart/telemetry/losses.py
+++ b/src/currantcart/telemetry/losses.py
@@ -64,11 +64,6 @@
         return self.by_second.most_common(1)[0][0]
 
 
-def root_of(request_id: str) -> str:
-    """Returns the id of the request at which a chain begins."""
-    return request_id.partition(lineage.SEPARATOR)[0]
-
-
 def own_cause(line: timeline.Line) -> str:
     """Returns the cause that a line tells of its own request."""
     if line.event == LATE:
@@ -88,7 +83,7 @@
     found: dict[str, timeline.Line] = {}
     for line in lines:
         request_id = line.values.get("id", "")
-        root = root_of(request_id)
+        root = lineage.root_id(request_id)
         if line.event != FAILED or root == request_id:
             continue
         before = found.get(root)
@@ -112,7 +107,7 @@
     losses: dict[tuple[str, str], Loss] = {}
     for line in kept:
         request_id = line.values.get("id", "")
-        if root_of(request_id) != request_id:
+        if lineage.root_id(request_id) != request_id:
             continue
         route = line.values.get("route") or UNKNOWN_ROUTE
         cause = own_cause(line)
--- a/src/currantcart/workspace/quota.py
+++ b/src/currantcart/workspace/quota.py
@@ -26,8 +26,8 @@
 """Requests that the others may have admitted without being counted.
 
 Workspaces would else be refused inside their rate for a mere possibility. It
-is half of a burst, and less the more nodes there are, for each of them may
-admit one more than it should before it notices.
+grows with the burst, and is less the more nodes there are, for each of them
+may admit one more than it should before it notices.
 """
 FREE_AT_START_MS = 1_000.0
 """Time for which the part of the burst that a new bucket lacks goes uncounted.
--- a/tests/call/test_budget.py
+++ b/tests/call/test_budget.py
@@ -11,6 +11,15 @@
     return budget.RetryBudget(ratio=0.2, slack=48, window_ms=10_000)
 
 
+def check_windows(requests: list[float], repeats: list[float]) -> None:
+    """Holds that no window got more repeats than all nodes may send."""
+    for start in range(0, 20_000, 250):
+        end = start + 10_000
+        sent = sum(start <= at < end for at in repeats)
+        asked = sum(start <= at < end for at in requests)
+        assert sent <= 0.2 * asked + 48
+
+
 def test_without_requests_a_node_keeps_to_its_share_of_the_fixed_part() -> None:
     kept = new_budget()
     taken = sum(kept.take(float(at), share=1 / 12) for at in range(100))
@@ -44,11 +53,7 @@
                 requests.append(now)
             if rng.random() < 0.05 and node.take(now, share=1 / 12):
                 repeats.append(now)
-    for start in range(0, 20_000, 250):
-        end = start + 10_000
-        sent = sum(start <= at < end for at in repeats)
-        asked = sum(start <= at < end for at in requests)
-        assert sent <= 0.2 * asked + 48
+    check_windows(requests, repeats)
 
 
 def test_a_passed_window_is_forgotten() -> None:
@@ -114,11 +119,7 @@
         for asking in (one, two):
             if asking.take(now, share=0.5):
                 repeats.append(now)
-    for start in range(0, 20_000, 250):
-        end = start + 10_000
-        sent = sum(start <= at < end for at in repeats)
-        asked = sum(start <= at < end for at in requests)
-        assert sent <= 0.2 * asked + 48
+    check_windows(requests, repeats)
 
 
 def test_a_small_fault_gets_all_the_repeats_that_it_needs() -> None:
--- a/tests/workspace/test_quota.py
+++ b/tests/workspace/test_quota.py
@@ -133,7 +133,7 @@
 
 def test_the_pace_of_hurried_counts_keeps_a_rate_at_ninety_nodes() -> None:
     fleet = Fleet(90)
-    pace = telling.COUNTS_MS + 90 * telling.COUNTS_MS_PER_PEER
+    pace = telling.counts_pace_ms(90)
     play(fleet, per_second=1_500, told_ms=round(pace))
     assert fleet.most_in_a_window() <= ALLOWED
 
--- a/tests/workspace/test_telling.py
+++ b/tests/workspace/test_telling.py
@@ -25,9 +25,8 @@
 
     def __init__(self, count: int, *, rate: float, started: bool) -> None:
         peers = count - 1
-        more = telling.STATUS_MS_PER_PEER * max(0, peers - telling.SMALL_FLEET)
-        self.pace = int(telling.STATUS_MS + more)
-        hurried = telling.COUNTS_MS + telling.COUNTS_MS_PER_PEER * peers
+        self.pace = int(telling.status_pace_ms(peers))
+        hurried = telling.counts_pace_ms(peers)
         lag_ms = node_module.heard_after_ms(self.pace)
         hurried_lag_ms = node_module.heard_after_ms(hurried)
         self.hurried_pace = int(hurried_lag_ms - node_module.TRANSIT_MS)
