Tell what retry budgets hold, by metrics and decision lines

The logs kept by the platform end after the window, the counter of repeats left out the calls that a repeated run makes, and nothing told how many nodes a budget assumes.

Change: counters of the repeats by cause (calls of repeated runs among them), of refused ones and of the requests that are counted; gauges by service of requests, repeats, what is left and the share of the fixed number; the nodes assumed and since when; the lines tried_again and repeat_refused have the same figures. No decision changes.

--- a/src/currantcart/call/budget.py
+++ b/src/currantcart/call/budget.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 
 BUCKETS = 10
 RATIO_KEPT = 0.9
@@ -27,6 +28,26 @@
 """
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Standing:
+    """What a budget holds at a moment.
+
+    Attributes:
+      requests: Requests of the present window.
+      repeats: Repeats of the present window.
+      allowed: Repeats that the window may have.
+    """
+
+    requests: int
+    repeats: int
+    allowed: float
+
+    @property
+    def left(self) -> float:
+        """Repeats that may still be sent."""
+        return max(0.0, self.allowed - self.repeats)
+
+
 class RetryBudget:
     """Requests and repeats of one service over a sliding window.
 
@@ -67,6 +88,19 @@
     def take(self, now: float, *, share: float) -> bool:
         """Takes one repeat out of the budget, if there is one.
 
+        Args:
+          now: Milliseconds of the node's clock.
+          share: This node's part of the fixed number, 0 to 1.
+        """
+        if self.standing(now, share=share).left < 1:
+            self.refused_at = now
+            return False
+        self.note_repeat(now)
+        return True
+
+    def standing(self, now: float, *, share: float) -> Standing:
+        """Returns what the budget holds now.
+
         Args:
           now: Milliseconds of the node's clock.
           share: This node's part of the fixed number, 0 to 1.
@@ -76,11 +110,7 @@
             self.ratio * RATIO_KEPT * self.counted(now)
             + self.slack * SLACK_KEPT * share
         )
-        if self.repeat_sum + 1 > allowed:
-            self.refused_at = now
-            return False
-        self.note_repeat(now)
-        return True
+        return Standing(self.request_sum, self.repeat_sum, allowed)
 
     def add(
         self, buckets: collections.deque[tuple[float, int]], now: float
--- a/src/currantcart/proxy/outbound.py
+++ b/src/currantcart/proxy/outbound.py
@@ -203,14 +203,6 @@
         """Hands a request to a second target, if budget and route allow."""
         call.handed_to_targets += 1
         if self.repeats.take(call):
-            self.context.counts.add("repeats", call.service, call.last_code)
-            self.context.log.event(
-                "tried_again",
-                id=call.request.request_id,
-                service=call.service,
-                cause=call.last_code,
-                after_ms=round(self.context.now - call.started_at),
-            )
             self.dispatch(call)
         else:
             self.give_up(call)
--- a/src/currantcart/proxy/repeats.py
+++ b/src/currantcart/proxy/repeats.py
@@ -4,17 +4,23 @@
 
 from collections.abc import Callable
 
+from currantcart import clock
 from currantcart.call import attempt, budget
 from currantcart.proxy import call as call_module
 from currantcart.proxy import context as proxy_context
 from currantcart.proxy import guard
 
+CALLED_BY_REPEAT = "called_by_repeat"
+"""Cause of a repeat that a further run of the request above made."""
+
 
 class Repeats:
     """The retry budgets of one node.
 
     Attributes:
       budgets: Retry budgets by service.
+      nodes: Nodes that are assumed to share the fixed part.
+      nodes_at: When that number changed last.
     """
 
     def __init__(
@@ -23,6 +29,8 @@
         self.context = context
         self.node_count = node_count
         self.budgets: dict[str, budget.RetryBudget] = {}
+        self.nodes = 1
+        self.nodes_at = context.now
 
     def budget_of(self, service: str) -> budget.RetryBudget:
         """Returns the retry budget of a service."""
@@ -36,6 +44,43 @@
             )
         return found
 
+    def share(self) -> float:
+        """Returns this node's part of the fixed number of repeats."""
+        nodes = self.node_count()
+        if nodes != self.nodes:
+            self.nodes, self.nodes_at = nodes, self.context.now
+        return 1.0 / nodes
+
+    def standings(self) -> dict[str, budget.Standing]:
+        """Returns what each service's budget holds now."""
+        now, share = self.context.now, self.share()
+        return {
+            service: kept.standing(now, share=share)
+            for service, kept in self.budgets.items()
+        }
+
+    def nodes_age(self) -> float:
+        """Returns the seconds since the assumed number of nodes changed."""
+        return (self.context.now - self.nodes_at) / clock.MS_PER_SECOND
+
+    def gauges(self) -> dict[str, Callable[[], dict[str, float]]]:
+        """Returns what is read of the budgets by metric and service."""
+
+        def each(
+            value: Callable[[budget.Standing], float],
+        ) -> Callable[[], dict[str, float]]:
+            return lambda: {
+                service: value(standing)
+                for service, standing in self.standings().items()
+            }
+
+        return {
+            "retry_budget_requests": each(lambda standing: standing.requests),
+            "retry_budget_repeats": each(lambda standing: standing.repeats),
+            "retry_budget_left": each(lambda standing: standing.left),
+            "retry_budget_share": each(lambda _: self.share()),
+        }
+
     def note(self, call: call_module.Call) -> None:
         """Counts a request for a service.
 
@@ -44,8 +89,10 @@
         kept, now = self.budget_of(call.service), self.context.now
         if call.lineage.repeated:
             kept.note_repeat(now)
+            self.context.counts.add("repeats", call.service, CALLED_BY_REPEAT)
         else:
             kept.note_request(now)
+            self.context.counts.add("budgeted_requests", call.service)
 
     def take(self, call: call_module.Call) -> bool:
         """Takes a repeat for a request, if route, time and budget allow."""
@@ -55,7 +102,26 @@
             and call.handed_to_targets < route.attempts_max
             and call.expires_at - now > guard.LATE_MS * 2
         )
-        if not allowed:
-            return False
-        share = 1.0 / self.node_count()
-        return self.budget_of(call.service).take(now, share=share)
+        return allowed and self.take_from_budget(call, call.last_code)
+
+    def take_from_budget(self, call: call_module.Call, cause: str) -> bool:
+        """Takes a repeat out of the budget of a request's service."""
+        kept, share = self.budget_of(call.service), self.share()
+        standing = kept.standing(self.context.now, share=share)
+        taken = kept.take(self.context.now, share=share)
+        name = "repeats" if taken else "repeats_refused"
+        self.context.counts.add(name, call.service, cause)
+        self.context.log.event(
+            "tried_again" if taken else "repeat_refused",
+            id=call.request.request_id,
+            service=call.service,
+            cause=cause,
+            after_ms=round(self.context.now - call.started_at),
+            requests=standing.requests,
+            repeats=standing.repeats,
+            left=round(standing.left, 1),
+            share=round(share, 4),
+            nodes=self.nodes,
+            nodes_age_ms=round(self.context.now - self.nodes_at),
+        )
+        return taken
--- a/src/currantcart/telemetry/counts.py
+++ b/src/currantcart/telemetry/counts.py
@@ -31,12 +31,14 @@
       counters: Counts by metric and label values.
       histograms: Observations in each bucket, and their sum, likewise.
       gauges: What is read when somebody asks, by metric.
+      service_gauges: The same by metric and service.
     """
 
     def __init__(self) -> None:
         self.counters: dict[str, collections.Counter[Labels]] = {}
         self.histograms: dict[str, dict[Labels, list[float]]] = {}
         self.gauges: dict[str, Callable[[], float]] = {}
+        self.service_gauges: dict[str, Callable[[], dict[str, float]]] = {}
         for name in COUNTERS:
             self.counters[name] = collections.Counter()
         for name in HISTOGRAMS:
@@ -73,6 +75,13 @@
             yield core.GaugeMetricFamily(
                 f"currantcart_{name}", GAUGES[name], value=read()
             )
+        for name, read_all in self.service_gauges.items():
+            gauge = core.GaugeMetricFamily(
+                f"currantcart_{name}", SERVICE_GAUGES[name], labels=["service"]
+            )
+            for service, value in read_all().items():
+                gauge.add_metric([service], value)
+            yield gauge
 
     def histogram(
         self, name: str, text: str, labels: list[str]
@@ -119,7 +128,18 @@
         "Attempts at targets, by how they ended",
         ["service", "outcome"],
     ),
-    "repeats": ("Requests handed over again, by cause", ["service", "cause"]),
+    "repeats": (
+        "Arrivals beyond the first of a request, by cause",
+        ["service", "cause"],
+    ),
+    "repeats_refused": (
+        "Repeats that the retry budget refused, by cause",
+        ["service", "cause"],
+    ),
+    "budgeted_requests": (
+        "Requests that the retry budget of their service counts",
+        ["service"],
+    ),
     "guard_refusals": ("Requests refused beside the target", ["code"]),
     "callers_closed": ("Idle connections closed for others", ["cause"]),
     "store_calls": ("Calls to the store, by result", ["call", "result"]),
@@ -146,5 +166,13 @@
     "pressure": "Part of the demand on the target that has to go",
     "rates_exhausted": "Workspaces that have come to the end of their rate",
     "budgets_exhausted": "Services whose repeats are used up",
+    "retry_budget_nodes": "Nodes that the retry budgets assume",
+    "retry_budget_nodes_age_seconds": "Time since that number changed last",
     "log_bytes_dropped": "Bytes of log lines that nobody took",
 }
+SERVICE_GAUGES = {
+    "retry_budget_requests": "Requests of the window that the budget counts",
+    "retry_budget_repeats": "Repeats of the window",
+    "retry_budget_left": "Repeats that this node may still send",
+    "retry_budget_share": "This node's part of the fixed number of repeats",
+}
