Split the share of the fixed number of repeats from the budgets

No behaviour changes. The share was worked out where requests are handed over; it becomes state of its own, so that its rules can be tested over many nodes without any network.

--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -237,7 +237,9 @@
             "pressure": lambda: self.guard.gauge.level,
             "rates_exhausted": lambda: len(self.beliefs.over_rate),
             "budgets_exhausted": lambda: len(self.beliefs.spent),
-            "retry_budget_nodes": lambda: self.outbound.repeats.nodes,
+            "retry_budget_nodes": lambda: (
+                self.outbound.repeats.fixed_part.nodes
+            ),
             "retry_budget_nodes_age_seconds": self.outbound.repeats.nodes_age,
             "log_bytes_dropped": lambda: self.context.log.dropped_bytes,
         }
--- a/src/currantcart/proxy/repeats.py
+++ b/src/currantcart/proxy/repeats.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from currantcart import clock
-from currantcart.call import attempt, budget
+from currantcart.call import attempt, budget, fixed_part
 from currantcart.proxy import call as call_module
 from currantcart.proxy import context as proxy_context
 from currantcart.proxy import guard
@@ -19,8 +19,7 @@
 
     Attributes:
       budgets: Retry budgets by service.
-      nodes: Nodes that are assumed to share the fixed part.
-      nodes_at: When that number changed last.
+      fixed_part: This node's part of the repeats beyond the ratio.
     """
 
     def __init__(
@@ -29,8 +28,15 @@
         self.context = context
         self.node_count = node_count
         self.budgets: dict[str, budget.RetryBudget] = {}
-        self.nodes = 1
-        self.nodes_at = context.now
+        self.fixed_part = fixed_part.FixedPart(
+            window_ms=self.window_ms, started_at=context.now
+        )
+
+    @property
+    def window_ms(self) -> float:
+        """Length of the window in which repeats are counted."""
+        bounds = self.context.settings.bounds
+        return bounds.retry_window_seconds * clock.MS_PER_SECOND
 
     def budget_of(self, service: str) -> budget.RetryBudget:
         """Returns the retry budget of a service."""
@@ -40,16 +46,14 @@
             found = self.budgets[service] = budget.RetryBudget(
                 ratio=bounds.retry_ratio,
                 slack=bounds.retry_slack,
-                window_ms=bounds.retry_window_seconds * 1_000,
+                window_ms=self.window_ms,
             )
         return found
 
     def share(self) -> float:
         """Returns this node's part of the fixed number of repeats."""
-        nodes = self.node_count()
-        if nodes != self.nodes:
-            self.nodes, self.nodes_at = nodes, self.context.now
-        return 1.0 / nodes
+        self.fixed_part.note(self.node_count(), self.context.now)
+        return self.fixed_part.share(self.context.now)
 
     def standings(self) -> dict[str, budget.Standing]:
         """Returns what each service's budget holds now."""
@@ -61,7 +65,8 @@
 
     def nodes_age(self) -> float:
         """Returns the seconds since the assumed number of nodes changed."""
-        return (self.context.now - self.nodes_at) / clock.MS_PER_SECOND
+        since = self.context.now - self.fixed_part.nodes_at
+        return since / clock.MS_PER_SECOND
 
     def gauges(self) -> dict[str, Callable[[], dict[str, float]]]:
         """Returns what is read of the budgets by metric and service."""
@@ -121,7 +126,7 @@
             repeats=standing.repeats,
             left=round(standing.left, 1),
             share=round(share, 4),
-            nodes=self.nodes,
-            nodes_age_ms=round(self.context.now - self.nodes_at),
+            nodes=self.fixed_part.nodes,
+            nodes_age_ms=round(self.nodes_age() * clock.MS_PER_SECOND),
         )
         return taken
