--- a/src/currantcart/call/fixed_part.py
+++ b/src/currantcart/call/fixed_part.py
@@ -20,11 +20,11 @@
         self.nodes_at = started_at
 
     def note(self, nodes: int, now: float) -> None:
-        """Takes how many nodes are known, this one included."""
+        """Takes how many nodes are known, this one included; 0 for unknown."""
         if nodes != self.nodes:
             self.nodes, self.nodes_at = nodes, now
 
     def share(self, now: float) -> float:
         """Returns this node's part, 0 to 1."""
         del now
-        return 1.0 / self.nodes
+        return 1.0 / max(1, self.nodes)
--- a/tests/proxy/test_repeats.py
+++ b/tests/proxy/test_repeats.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
+import collections
+
+import msgspec
+
 from bench.standins import http_target
 from currantcart.telemetry import timeline
 from tests.fakes import mesh as fake_mesh
@@ -61,3 +66,78 @@
     assert f"currantcart_retry_budget_share{labels} 0.33" in text
     assert "currantcart_retry_budget_nodes 3.0" in text
     assert "currantcart_retry_budget_nodes_age_seconds" in text
+
+
+def silent(seen: http_target.Seen) -> None:
+    """Gives no answer."""
+    del seen
+
+
+def arrivals(mesh: fake_mesh.Mesh, prefix: str) -> collections.Counter[str]:
+    """Returns how often each request arrived at any target, by id."""
+    return collections.Counter(
+        seen.request_id
+        for place in mesh.places.values()
+        for seen in place.target.seen
+        if seen.request_id.startswith(prefix)
+    )
+
+
+async def test_calls_of_repeated_runs_stay_within_the_retry_budget(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """A service below got more repeats than its budget from such calls."""
+    front = await mesh.add("a", service="other")
+    near = await mesh.add("b")
+    far = await mesh.add("c", domain="far")
+    await mesh.settle()
+    near.target.script = http_target.not_executed
+    far.target.script = silent
+    caller = await mesh.connect(front)
+    caller.send(fake_mesh.request(request_id="9c4"))
+    await mesh.settle(0.1)
+    near.target.script = far.target.script = http_target.sealed
+    replies = await asyncio.gather(
+        *(
+            mesh.ask(
+                far,
+                fake_mesh.request(
+                    "/inner/1", request_id=f"9c4.{number}", key=None
+                ),
+            )
+            for number in range(200)
+        )
+    )
+    bounds = far.settings.bounds
+    assert len(arrivals(mesh, "9c4.")) <= bounds.retry_slack
+    assert {reply.status for reply in replies} <= {200, 503}
+    assert all(
+        "retry-after" in reply.headers
+        for reply in replies
+        if reply.status == 503
+    )
+
+
+async def test_changed_bounds_do_not_renew_a_retry_budget(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """Each reload of changed settings forgot the repeats already sent."""
+    front = await mesh.add("a", service="other")
+    for name in "bc":
+        place = await mesh.add(name)
+        place.target.script = http_target.not_executed
+    await mesh.settle(12.0)
+    for number in range(200):
+        request_id = f"r{number}"
+        await mesh.ask(front, fake_mesh.request(request_id=request_id))
+        if number % 40 == 39:
+            before = front.node.context.settings
+            bounds = msgspec.structs.replace(
+                before.bounds, drain_seconds=before.bounds.drain_seconds + 0.1
+            )
+            front.node.use_settings(
+                msgspec.structs.replace(before, bounds=bounds)
+            )
+    sent = sum(count - 1 for count in arrivals(mesh, "r").values())
+    bounds = front.settings.bounds
+    assert sent <= bounds.retry_ratio * 200 + bounds.retry_slack
