Send calls of repeated runs only while their service has repeats left

Cause: a run that was itself a repeat makes its calls again, and each of them is a repeat at the service below. A node counted them in its budget and sent them in any case. While the budget has something left nothing shows, since what they use is missing elsewhere; once rejections have used it up, each comes on top. A repeat two services up is up to four calls below.

Change: such a call takes a repeat out of its service's budget, or ends with 503 and is not sent. It works because every arrival beyond a first one now passes through one place that can refuse it.

--- a/src/currantcart/proxy/outbound.py
+++ b/src/currantcart/proxy/outbound.py
@@ -86,13 +86,11 @@
         if request.internal:
             self.edge.note_called(service)
         elif by := self.edge.shed_by(call):
-            after = returns.return_after_ms(
-                objective_ms=request.route.objective_ms
-            )
-            call.retry_after_ms = intake.spread(after, self.context.rng)
-            self.finish(call, 503, f"shed_for_{by}")
+            self.reject(call, f"shed_for_{by}")
+            return None
+        if not self.repeats.begin(call):
+            self.reject(call, "retry_budget_exhausted")
             return None
-        self.repeats.note(call)
         call.timer = self.context.loop.call_later(
             (call.expires_at - now) / 1_000, self.expire, call
         )
@@ -220,6 +218,14 @@
         else:
             self.finish(call, 502, call.last_code)
 
+    def reject(self, call: call_module.Call, code: str) -> None:
+        """Ends a request that was sent to no target, to come back later."""
+        after = returns.return_after_ms(
+            objective_ms=call.request.route.objective_ms
+        )
+        call.retry_after_ms = intake.spread(after, self.context.rng)
+        self.finish(call, 503, code)
+
     def expire(self, call: call_module.Call) -> None:
         """Ends a request whose time is over."""
         if not call.done:
--- a/src/currantcart/proxy/repeats.py
+++ b/src/currantcart/proxy/repeats.py
@@ -86,18 +86,17 @@
             "retry_budget_share": each(lambda _: self.share()),
         }
 
-    def note(self, call: call_module.Call) -> None:
-        """Counts a request for a service.
+    def begin(self, call: call_module.Call) -> bool:
+        """Counts a new request; returns whether it may be sent at all.
 
-        What a further run calls counts as repeats at the services below.
+        A call that a further run makes is a repeat itself, and is sent only
+        if the budget of its service has one.
         """
-        kept, now = self.budget_of(call.service), self.context.now
         if call.lineage.repeated:
-            kept.note_repeat(now)
-            self.context.counts.add("repeats", call.service, CALLED_BY_REPEAT)
-        else:
-            kept.note_request(now)
-            self.context.counts.add("budgeted_requests", call.service)
+            return self.take_from_budget(call, CALLED_BY_REPEAT)
+        self.budget_of(call.service).note_request(self.context.now)
+        self.context.counts.add("budgeted_requests", call.service)
+        return True
 
     def take(self, call: call_module.Call) -> bool:
         """Takes a repeat for a request, if route, time and budget allow."""
@@ -116,8 +115,10 @@
         taken = kept.take(self.context.now, share=share)
         name = "repeats" if taken else "repeats_refused"
         self.context.counts.add(name, call.service, cause)
+        first = cause == CALLED_BY_REPEAT
+        sent = CALLED_BY_REPEAT if first else "tried_again"
         self.context.log.event(
-            "tried_again" if taken else "repeat_refused",
+            sent if taken else "repeat_refused",
             id=call.request.request_id,
             service=call.service,
             cause=cause,
