Count the mean of two windows of requests in retry budgets

Cause: each node took the largest of three windows of its own requests, up to 1.25 of the present one, times 0.9. The nodes' largest windows differ when callers move, so the sum of the maxima exceeds the maximum of the sums by up to an eighth. Besides, a window was checked only as it ended, with the requests of other windows than the ones that count for it.

Change: a node allows itself the ratio of the mean of a window's requests and those of the window before, and checks every window that the present moment lies in, in 40 pieces. The mean of sums is the sum of means and at most the larger sum, so the ratio holds over all nodes by arithmetic, whatever they know, also after starts. RATIO_KEPT 0.9 -> 0.92: it covers only the waits of repeats now; DECLINE_MAX is gone.

Weighed: the window half a window earlier alone (also linear) gives a node that has just started nothing for half a window; the present alone gives a fault's first second nothing. The mean gives half to each at once.

--- a/src/currantcart/call/budget.py
+++ b/src/currantcart/call/budget.py
@@ -1,31 +1,28 @@
 """How many repeated arrivals a service gets from this node.
 
 All nodes together may send a service a ratio of its requests plus a fixed
-number again in any window. The ratio part each node keeps by counting its
-own requests; of the fixed part each node takes an even share, since a fault
-that makes one node repeat usually makes all of them repeat.
+number again in any window. The requests of the window itself count, or those
+of the one before it, whichever are more; a choice of the larger one by each
+node would add up to more than that where callers move between nodes. So each
+node counts the mean of both. The mean of the sums is the sum of the means, and
+no more than the larger sum: the bound holds however callers move, whatever a
+node knows of the others, and whenever it starts and knows nothing of before.
 """
 
 from __future__ import annotations
 
 import collections
 import dataclasses
+import math
 
-BUCKETS = 10
-RATIO_KEPT = 0.9
+BUCKETS = 40
+RATIO_KEPT = 0.92
 """Part of the allowed ratio that is used.
 
-What other nodes count may differ a little from what this one counts.
+A repeat may wait beside its target, so that those of a little more than one
+window can arrive in one.
 """
 SLACK_KEPT = 0.75
-DECLINE_MAX = 1.25
-"""How much more than the present window an earlier one may count.
-
-Chains that fail early make fewer calls, so a service that turns requests away
-is asked less and would be repeated less. The bound counts an earlier window
-where it has more; each node sees only its own part, and callers that move from
-node to node must not count at both.
-"""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,17 +32,12 @@
     Attributes:
       requests: Requests of the present window.
       repeats: Repeats of the present window.
-      allowed: Repeats that the window may have.
+      left: Repeats that may still be sent.
     """
 
     requests: int
     repeats: int
-    allowed: float
-
-    @property
-    def left(self) -> float:
-        """Repeats that may still be sent."""
-        return max(0.0, self.allowed - self.repeats)
+    left: float
 
 
 class RetryBudget:
@@ -53,11 +45,11 @@
 
     Attributes:
       ratio: Repeats allowed for each request.
-      slack: Repeats that this node may send beyond the ratio.
+      slack: Repeats that all nodes may send beyond the ratio.
       window_ms: Length of the window.
-      requests: Requests of the present window, by bucket.
-      earlier: Requests of the window before.
-      repeats: Repeats of the present window.
+      bucket_ms: Length of the pieces of time that are counted together.
+      requests: Requests by piece of time.
+      repeats: Repeats by piece of time.
       refused_at: When it had none for one that asked.
     """
 
@@ -66,24 +58,13 @@
         self.slack = slack
         self.window_ms = window_ms
         self.bucket_ms = window_ms / BUCKETS
-        self.requests: collections.deque[tuple[float, int]] = (
-            collections.deque()
-        )
-        self.earlier: collections.deque[tuple[float, int]] = collections.deque()
-        self.repeats: collections.deque[tuple[float, int]] = collections.deque()
-        self.request_sum = 0
-        self.repeat_sum = 0
+        self.requests: collections.Counter[int] = collections.Counter()
+        self.repeats: collections.Counter[int] = collections.Counter()
         self.refused_at = float("-inf")
 
     def note_request(self, now: float) -> None:
         """Counts a request for the service."""
         self.add(self.requests, now)
-        self.request_sum += 1
-
-    def note_repeat(self, now: float) -> None:
-        """Counts an arrival that repeats another, whoever decided on it."""
-        self.add(self.repeats, now)
-        self.repeat_sum += 1
 
     def take(self, now: float, *, share: float) -> bool:
         """Takes one repeat out of the budget, if there is one.
@@ -92,68 +73,72 @@
           now: Milliseconds of the node's clock.
           share: This node's part of the fixed number, 0 to 1.
         """
-        if self.standing(now, share=share).left < 1:
+        if self.left(now, share=share) < 1:
             self.refused_at = now
             return False
-        self.note_repeat(now)
+        self.add(self.repeats, now)
         return True
 
-    def standing(self, now: float, *, share: float) -> Standing:
-        """Returns what the budget holds now.
+    def left(self, now: float, *, share: float) -> float:
+        """Returns how many repeats may be sent now, 0 at least.
+
+        Every window that the present moment lies in has to bear them, so the
+        least of what they bear is left. Pieces of time that lie only partly
+        in a window count for repeats and not for requests.
 
         Args:
           now: Milliseconds of the node's clock.
           share: This node's part of the fixed number, 0 to 1.
         """
-        self.expire(now)
-        allowed = (
-            self.ratio * RATIO_KEPT * self.counted(now)
-            + self.slack * SLACK_KEPT * share
-        )
-        return Standing(self.request_sum, self.repeat_sum, allowed)
-
-    def add(
-        self, buckets: collections.deque[tuple[float, int]], now: float
-    ) -> None:
-        """Adds one to the newest bucket."""
-        self.expire(now)
-        start = now - now % self.bucket_ms
-        if buckets and buckets[-1][0] == start:
-            buckets[-1] = (start, buckets[-1][1] + 1)
-        else:
-            buckets.append((start, 1))
-
-    def counted(self, now: float) -> float:
-        """Returns the requests that the ratio applies to.
-
-        Those of the present window, of the one before it or of the one half
-        a window before it, whichever are most.
-        """
-        whole = now - self.window_ms - self.bucket_ms
-        half = whole + self.window_ms * 0.5
-        before = sum(count for at, count in self.earlier if at <= whole)
-        later = sum(
-            count
-            for at, count in self.earlier
-            if at >= now - 1.5 * self.window_ms
+        newest = self.bucket(now)
+        fixed = self.slack * SLACK_KEPT * share
+        per_request = self.ratio * RATIO_KEPT / 2
+        counted = sum(
+            self.requests[bucket]
+            for bucket in range(newest - BUCKETS + 1, newest + 1)
         )
-        first = sum(count for at, count in self.requests if at <= half)
-        most = max(self.request_sum, before, later + first)
-        return min(most, DECLINE_MAX * self.request_sum)
+        sent, least = 0, math.inf
+        for start in range(newest, newest - BUCKETS - 1, -1):
+            sent += self.repeats[start]
+            least = min(least, per_request * counted + fixed - sent)
+            counted += self.requests[start - BUCKETS]
+        return max(0.0, least)
 
-    def expire(self, now: float) -> None:
-        """Forgets what lies before the windows.
+    def standing(self, now: float, *, share: float) -> Standing:
+        """Returns what the budget holds now.
 
-        Requests leave a window as soon as their bucket begins to leave it,
-        repeats only when it has left whole, so that the rounding never
-        allows more.
+        Args:
+          now: Milliseconds of the node's clock.
+          share: This node's part of the fixed number, 0 to 1.
         """
-        while self.requests and self.requests[0][0] < now - self.window_ms:
-            left = self.requests.popleft()
-            self.request_sum -= left[1]
-            self.earlier.append(left)
-        while self.earlier and self.earlier[0][0] < now - 2 * self.window_ms:
-            self.earlier.popleft()
-        oldest = now - self.window_ms - self.bucket_ms
-        while self.repeats and self.repeats[0][0] < oldest:
-            self.repeat_sum -= self.repeats.popleft()[1]
+        return Standing(
+            self.requests_in_window(now),
+            self.repeats_in_window(now),
+            self.left(now, share=share),
+        )
+
+    def requests_in_window(self, now: float) -> int:
+        """Returns the requests of the window that ends now."""
+        return sum(self.requests[bucket] for bucket in self.window(now))
+
+    def repeats_in_window(self, now: float) -> int:
+        """Returns the repeats of the window that ends now."""
+        return sum(self.repeats[bucket] for bucket in self.window(now))
+
+    def window(self, now: float) -> range:
+        """Returns the pieces of time of the window that ends now."""
+        newest = self.bucket(now)
+        return range(newest - BUCKETS + 1, newest + 1)
+
+    def bucket(self, now: float) -> int:
+        """Returns the number of the piece of time that a moment lies in."""
+        return int(now // self.bucket_ms)
+
+    def add(self, counter: collections.Counter[int], now: float) -> None:
+        """Adds one to the newest piece of time; forgets the oldest ones."""
+        bucket = self.bucket(now)
+        if bucket not in counter:
+            oldest = bucket - 2 * BUCKETS
+            for passed in [key for key in counter if key < oldest]:
+                del counter[passed]
+        counter[bucket] += 1
--- a/src/currantcart/proxy/beliefs.py
+++ b/src/currantcart/proxy/beliefs.py
@@ -83,8 +83,8 @@
             self.context.log.event(
                 "budget_exhausted",
                 service=name,
-                requests=present[name].request_sum,
-                repeats=present[name].repeat_sum,
+                requests=present[name].requests_in_window(now),
+                repeats=present[name].repeats_in_window(now),
             )
         for name in sorted(self.spent - present.keys()):
             self.context.log.event("budget_regained", service=name)
