Keep what retry budgets have counted when bounds change

What callers would see: after each reload of settings with any changed bound a node could send its repeats again (95 of 88 allowed at one node, five reloads).

Cause: the budgets were dropped and made anew with new bounds.

Change: ratio and fixed number change in place. With another window the counts start anew, and the process has no fixed part for a window, as after a start.

--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -329,8 +329,7 @@
         before = self.context.settings
         self.context.settings = settings
         self.callers.intake.revoke_ms = settings.bounds.revoke_seconds * 1e3
-        if settings.bounds != before.bounds:
-            self.outbound.repeats.budgets.clear()
+        self.outbound.repeats.use_bounds(settings.bounds)
         self.context.log.event(
             "settings_read",
             changed=settings != before,
--- a/src/currantcart/proxy/repeats.py
+++ b/src/currantcart/proxy/repeats.py
@@ -9,6 +9,7 @@
 from currantcart.proxy import call as call_module
 from currantcart.proxy import context as proxy_context
 from currantcart.proxy import guard
+from currantcart.proxy import settings as proxy_settings
 
 CALLED_BY_REPEAT = "called_by_repeat"
 """Cause of a repeat that a further run of the request above made."""
@@ -28,9 +29,7 @@
         self.context = context
         self.node_count = node_count
         self.budgets: dict[str, budget.RetryBudget] = {}
-        self.fixed_part = fixed_part.FixedPart(
-            window_ms=self.window_ms, started_at=context.now
-        )
+        self.fixed_part = self.new_fixed_part()
 
     @property
     def window_ms(self) -> float:
@@ -50,6 +49,22 @@
             )
         return found
 
+    def use_bounds(self, bounds: proxy_settings.Bounds) -> None:
+        """Takes changed bounds; what was sent goes on counting."""
+        if self.window_ms != self.fixed_part.window_ms:
+            # Counts of another window can't be kept; as after a start, what
+            # they held is taken as used up.
+            self.budgets.clear()
+            self.fixed_part = self.new_fixed_part()
+        for kept in self.budgets.values():
+            kept.ratio, kept.slack = bounds.retry_ratio, bounds.retry_slack
+
+    def new_fixed_part(self) -> fixed_part.FixedPart:
+        """Returns the part of a process that starts to count now."""
+        return fixed_part.FixedPart(
+            window_ms=self.window_ms, started_at=self.context.now
+        )
+
     def share(self) -> float:
         """Returns this node's part of the fixed number of repeats."""
         self.fixed_part.note(self.node_count(), self.context.now)
--- a/tests/proxy/test_repeats.py
+++ b/tests/proxy/test_repeats.py
@@ -167,3 +167,27 @@
     await mesh.restart(front)
     await mesh.settle(fake_mesh.SHARING_SECONDS)
     assert front.node.outbound.repeats.share() == 0.0
+
+
+async def test_changed_bounds_hold_for_what_was_counted(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    front = await ask_rejecting_targets(mesh, requests=30)
+    before = front.node.context.settings
+    bounds = msgspec.structs.replace(
+        before.bounds, retry_ratio=0.0, retry_slack=0.0
+    )
+    front.node.use_settings(msgspec.structs.replace(before, bounds=bounds))
+    (standing,) = front.node.outbound.repeats.standings().values()
+    assert standing.requests == 30
+    assert standing.left == 0.0
+
+
+async def test_another_window_starts_a_budget_anew_without_a_fixed_part(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    front = await ask_rejecting_targets(mesh, requests=30)
+    before = front.node.context.settings
+    bounds = msgspec.structs.replace(before.bounds, retry_window_seconds=5.0)
+    front.node.use_settings(msgspec.structs.replace(before, bounds=bounds))
+    assert front.node.outbound.repeats.share() == 0.0
