Name publishing, expedited and unreported counts by the field's terms

Only names and doc texts change: workspace.unheard -> unreported, hurried -> expedited, proxy.telling -> publisher, news -> statuses, beliefs -> state_log, reach -> reachability, packing -> compression, Bye -> Leave, tell_* -> log_*, told_* -> reported_* or published_*. Texts that told a story are cut.

Metrics and log fields keep their names, as does the wire (a number tags a frame). Left: peers.told in workspace.quota, target.hear, local names.

--- a/src/currantcart/admission/speed.py
+++ b/src/currantcart/admission/speed.py
@@ -36,6 +36,6 @@
         self.log_ms += weight * (math.log(max(work_ms, 0.1)) - self.log_ms)
 
     @property
-    def told_ms(self) -> float:
+    def reported_ms(self) -> float:
         """The time as it is told; 0 while too little was measured."""
         return math.exp(self.log_ms) if self.measured >= MEASURED_MIN else 0.0
--- a/src/currantcart/proxy/packing.py
+++ b/src/currantcart/proxy/compression.py
@@ -1,9 +1,7 @@
 """Compression of a stream between two failure domains.
 
-Bytes that leave a failure domain cost money, and half of what nodes tell each
-other are header lines and statuses that hardly change. Each direction of a
-stream is one compressed sequence, so that what was sent before need not be
-sent again.
+Each direction of a stream is one compressed sequence, so that header lines and
+statuses that were sent before are sent as references.
 """
 
 from __future__ import annotations
@@ -15,13 +13,10 @@
 LEVEL = 1
 WINDOW_BITS = -12
 MEMORY_LEVEL = 5
-"""Together some tens of kilobytes a stream: a node has one to each peer.
-
-Larger windows gain little, since only header lines repeat and bodies don't.
-"""
+"""Bounds the memory of a stream; larger windows gain little."""
 
 
-class Packer:
+class Compressor:
     """Compresses what one side sends."""
 
     def __init__(self) -> None:
@@ -34,7 +29,7 @@
         return self.state.compress(data) + self.state.flush(zlib.Z_SYNC_FLUSH)
 
 
-class Unpacker:
+class Decompressor:
     """Restores what the other side has packed."""
 
     def __init__(self) -> None:
--- a/src/currantcart/proxy/endings.py
+++ b/src/currantcart/proxy/endings.py
@@ -21,7 +21,7 @@
     counts.observe("request_seconds", since, call.service)
 
 
-def tell_answer(
+def log_answer(
     context: proxy_context.Context, call: call_module.Call, status: int
 ) -> None:
     """Logs an answer that came late, and a few of the others."""
@@ -44,7 +44,7 @@
     )
 
 
-def tell_left(context: proxy_context.Context, call: call_module.Call) -> None:
+def log_left(context: proxy_context.Context, call: call_module.Call) -> None:
     """Logs a request whose caller has left before its answer."""
     context.log.event(
         "caller_left",
@@ -67,7 +67,7 @@
     return ",".join(target.text(now) for target in known[:CANDIDATES_MAX])
 
 
-def tell_end(
+def log_end(
     context: proxy_context.Context,
     call: call_module.Call,
     *,
--- a/src/currantcart/proxy/frames.py
+++ b/src/currantcart/proxy/frames.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from currantcart import errors
-from currantcart.proxy import packing
+from currantcart.proxy import compression
 
 FRAME_BYTES_MAX = 4 * 1024 * 1024
 PACKED_BYTES_MAX = 32 * 1024
@@ -209,7 +209,7 @@
 
 
 class Counts(msgspec.Struct, array_like=True, tag=10):
-    """Requests admitted since the sender's start, of hurried workspaces."""
+    """Requests admitted since the sender's start, of expedited workspaces."""
 
     counts: dict[str, int]
 
@@ -220,7 +220,7 @@
     data: bytes
 
 
-class Bye(msgspec.Struct, array_like=True, tag=12):
+class Leave(msgspec.Struct, array_like=True, tag=12):
     """The sender's process ends: it admits no request any more."""
 
 
@@ -236,7 +236,7 @@
     | Cancel
     | Counts
     | Packed
-    | Bye
+    | Leave
 )
 
 ENCODER = msgspec.msgpack.Encoder()
@@ -266,7 +266,7 @@
 
     def __init__(self) -> None:
         self.buffer = bytearray()
-        self.packer: packing.Packer | None = None
+        self.compressor: compression.Compressor | None = None
 
     def add(self, frame: Frame) -> None:
         """Adds a frame."""
@@ -284,9 +284,9 @@
     def take_packed(self) -> bytes:
         """Returns the gathered frames, compressed where that was agreed."""
         gathered = self.take()
-        if self.packer is None or len(gathered) > PACKED_BYTES_MAX:
+        if self.compressor is None or len(gathered) > PACKED_BYTES_MAX:
             return gathered
-        return encoded(Packed(self.packer.pack(gathered)))
+        return encoded(Packed(self.compressor.pack(gathered)))
 
 
 class FrameReader:
@@ -298,7 +298,7 @@
 
     def __init__(self) -> None:
         self.rest = b""
-        self.unpacker: packing.Unpacker | None = None
+        self.decompressor: compression.Decompressor | None = None
 
     def feed(self, data: bytes) -> Iterator[Frame]:
         """Yields the frames that are complete.
@@ -333,10 +333,10 @@
 
     def unpack(self, packed: Packed) -> Iterator[Frame]:
         """Yields the frames of a compressed part; they come whole."""
-        if self.unpacker is None:
-            self.unpacker = packing.Unpacker()
+        if self.decompressor is None:
+            self.decompressor = compression.Decompressor()
         inner = FrameReader()
-        data = self.unpacker.unpack(packed.data, bytes_max=PACKED_BYTES_MAX)
+        data = self.decompressor.unpack(packed.data, bytes_max=PACKED_BYTES_MAX)
         for frame in inner.cut(data):
             if isinstance(frame, Packed):
                 raise invalid("a packed frame within another")
--- a/src/currantcart/proxy/guard.py
+++ b/src/currantcart/proxy/guard.py
@@ -86,7 +86,7 @@
             pressure=self.pressure(),
             leaving=bool(self.target_id) and not self.ready,
             born=self.born,
-            work_ms=round(self.exchange.speed.told_ms, 1),
+            work_ms=round(self.exchange.speed.reported_ms, 1),
         )
 
     def pressure(self) -> pressure.Pressure:
--- a/src/currantcart/proxy/link.py
+++ b/src/currantcart/proxy/link.py
@@ -13,8 +13,8 @@
 
 from currantcart import errors
 from currantcart.http1 import transport as stream
+from currantcart.proxy import compression, frames
 from currantcart.proxy import context as proxy_context
-from currantcart.proxy import frames, packing
 
 PROTOCOL = 1
 SUSPECT_MS = 900.0
@@ -73,7 +73,7 @@
     def counts_heard(self, link: Link, counts: frames.Counts) -> None:
         """Takes what a peer has admitted."""
 
-    def bye_heard(self, link: Link) -> None:
+    def leave_heard(self, link: Link) -> None:
         """Takes that the peer's process ends."""
 
     def call_frame(self, link: Link, frame: frames.Frame) -> None:
@@ -122,7 +122,7 @@
       echoed_at: When the newest status was sent that the peer has echoed.
       asked_at: When the peer was asked for a sign of life that has not come;
         0 while none is due.
-      quiet: Whether the peer was told of as quiet.
+      quiet: Whether the peer was logged as quiet.
       calls: Calls on it by number; what they are is the owner's matter.
     """
 
@@ -147,7 +147,7 @@
         self.echoed_at = 0.0
         self.asked_at = 0.0
         self.quiet = False
-        self.told_counts: dict[str, int] = {}
+        self.published_counts: dict[str, int] = {}
         self.pushed_version = 0
         self.transport: asyncio.Transport | None = None
         self.writer = frames.FrameWriter()
@@ -164,9 +164,9 @@
             )
         )
 
-    def untold(self, counts: dict[str, int]) -> dict[str, int]:
-        """Returns the counts that the peer was not told, and notes them."""
-        told = self.told_counts
+    def unpublished(self, counts: dict[str, int]) -> dict[str, int]:
+        """Returns the counts that the peer was not sent, and notes them."""
+        told = self.published_counts
         changed = {
             name: count
             for name, count in counts.items()
@@ -217,8 +217,8 @@
             self.owner.config_heard(self, frame)
         elif isinstance(frame, frames.Counts):
             self.owner.counts_heard(self, frame)
-        elif isinstance(frame, frames.Bye):
-            self.owner.bye_heard(self)
+        elif isinstance(frame, frames.Leave):
+            self.owner.leave_heard(self)
         else:
             self.owner.call_frame(self, frame)
 
@@ -231,7 +231,7 @@
         self.peer = hello.member
         far = hello.member.failure_domain != self.owner.member.failure_domain
         if far and hello.unpacks:
-            self.writer.packer = packing.Packer()
+            self.writer.compressor = compression.Compressor()
         self.status_now, self.status_at = hello.now_ms, self.context.now
         self.owner.link_ready(self)
 
@@ -252,7 +252,7 @@
         self.status_now, self.status_at = status.now_ms, now
         self.owner.status_heard(self, status)
 
-    def tell(self, status: frames.Status) -> None:
+    def send_status(self, status: frames.Status) -> None:
         """Sends a status; the side that was dialled answers it at once."""
         self.send(status)
         if self.dialled and not self.asked_at:
@@ -270,7 +270,7 @@
         """Whether the peer owes a sign of life."""
         return bool(self.asked_at) and now - self.asked_at > OVERDUE_MS
 
-    def tell_quiet(self, now: float) -> None:
+    def log_quiet(self, now: float) -> None:
         """Logs that the peer has become quiet, or is heard again."""
         if self.is_quiet(now) == self.quiet:
             return
--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -12,7 +12,6 @@
 from currantcart.admission import connections
 from currantcart.fleet import target_record
 from currantcart.proxy import (
-    beliefs,
     config_feed,
     control,
     frames,
@@ -21,13 +20,14 @@
     inbound,
     intake,
     link,
-    news,
     outbound,
     peers,
+    publisher,
     registration,
     shutdown,
+    state_log,
+    statuses,
     target_reports,
-    telling,
 )
 from currantcart.proxy import context as proxy_context
 from currantcart.proxy import settings as proxy_settings
@@ -41,8 +41,8 @@
 SWEEP_TICKS = 10
 RESTART_SECONDS = 0.5
 PEER_SECONDS_MAX = 0.25
-BYE_SECONDS = 0.02
-"""Time for the goodbye to leave before the streams are cut."""
+LEAVE_SECONDS = 0.02
+"""Time for the announcement to be sent before the streams are cut."""
 
 
 def heard_after_ms(pace_ms: float) -> float:
@@ -116,7 +116,7 @@
             on_change=self.config_changed,
         )
         self.peer_heard = asyncio.Event()
-        self.news = news.News(
+        self.statuses = statuses.Statuses(
             context,
             own_guard=self.guard,
             quotas=self.quotas,
@@ -127,17 +127,17 @@
         )
         self.peers = peers.Peers(
             context,
-            status=self.news.status_for,
-            on_status=self.news.status_heard,
+            status=self.statuses.status_for,
+            on_status=self.statuses.status_heard,
             on_config=self.feed.config_heard,
             on_call_frame=self.call_frame,
             on_lost=self.link_lost,
             on_gone=lambda peer: self.quotas.forget(peer.member.process),
-            on_counts=self.news.counts_heard,
-            hurried=self.quotas.hurried,
+            on_counts=self.statuses.counts_heard,
+            expedited=self.quotas.expedited,
         )
         self.outbound.peers = self.peers
-        self.news.peers = self.peers
+        self.statuses.peers = self.peers
         self.guard.called_pressure = self.outbound.edge.called_pressure
         self.feed.peers = self.peers
         self.registration = registration.Registration(
@@ -162,10 +162,10 @@
             record=self.record,
             own_guard=self.guard,
             registration=self.registration,
-            tell=self.peers.tell,
+            publish=self.peers.publish,
             hold=self.background.hold,
         )
-        self.beliefs = beliefs.Beliefs(
+        self.state_log = state_log.StateLog(
             context, quotas=self.quotas, budgets=self.outbound.repeats.budgets
         )
         self.stopping = asyncio.Event()
@@ -235,8 +235,8 @@
             "waiting": lambda: queue.waiting,
             "slots": lambda: queue.slots,
             "pressure": lambda: self.guard.gauge.level,
-            "rates_exhausted": lambda: len(self.beliefs.over_rate),
-            "budgets_exhausted": lambda: len(self.beliefs.spent),
+            "rates_exhausted": lambda: len(self.state_log.over_rate),
+            "budgets_exhausted": lambda: len(self.state_log.spent),
             "retry_budget_nodes": lambda: (
                 self.outbound.repeats.fixed_part.nodes
             ),
@@ -302,7 +302,7 @@
         """Does what is due now."""
         self.ticks += 1
         if self.guard.update_gauge():
-            self.peers.tell()
+            self.peers.publish()
         self.outbound.refresh_own()
         self.peers.tick()
         self.feed.tick()
@@ -312,7 +312,9 @@
         self.quotas.set_fleet(
             nodes=peer_count + 1,
             lag_ms=heard_after_ms(self.context.pace_ms),
-            hurried_lag_ms=heard_after_ms(telling.counts_pace_ms(peer_count)),
+            expedited_lag_ms=heard_after_ms(
+                publisher.counts_pace_ms(peer_count)
+            ),
         )
         if self.ticks % SWEEP_TICKS == 0:
             self.callers.bound.limit = connections.caller_limit(
@@ -321,7 +323,7 @@
                 slots=self.guard.slot_count,
             )
             self.callers.sweep()
-            self.beliefs.tell(now)
+            self.state_log.log_changes(now)
             self.guard.exchange.pool.sweep(now)
 
     def use_settings(self, settings: proxy_settings.ProxySettings) -> None:
@@ -352,7 +354,7 @@
         cut = await shutdown.drain(
             self.context,
             running=self.running,
-            tell=self.peers.tell,
+            publish=self.peers.publish,
             close_idle=self.callers.close_idle,
         )
         await self.registration.end()
@@ -368,8 +370,8 @@
         # while their targets are at work.
         for connection in list(self.callers.connections):
             connection.end()
-        self.peers.say_bye()
-        await asyncio.sleep(BYE_SECONDS)
+        self.peers.announce_leave()
+        await asyncio.sleep(LEAVE_SECONDS)
         self.peers.close()
         self.guard.exchange.pool.close()
         self.context.log.event("stopped")
--- a/src/currantcart/proxy/outbound.py
+++ b/src/currantcart/proxy/outbound.py
@@ -114,7 +114,7 @@
     def pressure_on(self, service: str) -> pressure.Pressure:
         """Returns how full a service and those below it are."""
         assert self.peers is not None
-        return self.peers.reach.pressure_on(service)
+        return self.peers.reachability.pressure_on(service)
 
     # Attempts.
 
@@ -124,7 +124,7 @@
         now = self.context.now
         if call.service == self.peers.own.service:
             self.refresh_own()
-        targets = self.peers.reach.candidates(call.service)
+        targets = self.peers.reachability.candidates(call.service)
         chosen = self.picker.choose(
             targets,
             now=now,
@@ -166,9 +166,9 @@
         self.end(call)
         self.edge.note_end(call, failed=failed)
         if failed:
-            self.tell_end(call, "target_failed", status)
+            self.log_end(call, "target_failed", status)
         else:
-            endings.tell_answer(self.context, call, status)
+            endings.log_answer(self.context, call, status)
         call.answer(status, head, body)
 
     def refused(
@@ -241,7 +241,7 @@
         """Answers a request on the node's own account."""
         endings.count_end(self.context, call, code)
         self.end(call)
-        self.tell_end(call, code, status)
+        self.log_end(call, code, status)
         not_run = all(
             item is attempt.Outcome.NOT_EXECUTED for item in call.outcomes
         )
@@ -251,11 +251,11 @@
         head, body = intake.own_answer(code, retry_after_ms=after)
         call.answer(status, head, body)
 
-    def tell_end(self, call: call_module.Call, code: str, status: int) -> None:
+    def log_end(self, call: call_module.Call, code: str, status: int) -> None:
         """Logs a request that did not end well, with what was known."""
         assert self.peers is not None
         known = self.peers.by_service.get(call.service, [])
-        endings.tell_end(
+        endings.log_end(
             self.context, call, code=code, status=status, known=known
         )
 
@@ -271,6 +271,6 @@
         """Ends a request whose caller has left."""
         if not call.done:
             endings.count_end(self.context, call, "caller_left")
-            endings.tell_left(self.context, call)
+            endings.log_left(self.context, call)
             self.attempts.withdraw(call)
             self.end(call)
--- a/src/currantcart/proxy/peers.py
+++ b/src/currantcart/proxy/peers.py
@@ -1,4 +1,4 @@
-"""The node's peers: streams to them, their targets, what they tell."""
+"""The node's peers: streams to them, their targets, their reports."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterable
 
 from currantcart.proxy import context as proxy_context
-from currantcart.proxy import frames, link, reach, telling
+from currantcart.proxy import frames, link, publisher, reachability
 from currantcart.proxy import peer as peer_module
 from currantcart.proxy import settings as proxy_settings
 from currantcart.routing import picker
@@ -25,9 +25,9 @@
       by_service: Targets of each service, the own one included.
       named: Whether the store has once named all nodes.
       own: The own target, as the router sees it.
-      reach: Which targets can be reached now, and how full they are.
+      reachability: Which targets can be reached now, and how full they are.
       left: Targets that were said to leave, by the instance beside them.
-      telling: Tells this node's state at its pace.
+      publisher: Sends this node's state at its pace.
     """
 
     def __init__(
@@ -41,7 +41,7 @@
         on_lost: Callable[[link.Link], None],
         on_gone: Callable[[peer_module.Peer], None],
         on_counts: Callable[[peer_module.Peer, dict[str, int]], None],
-        hurried: Callable[[], dict[str, int]],
+        expedited: Callable[[], dict[str, int]],
     ) -> None:
         settings = context.settings
         self.context = context
@@ -69,18 +69,18 @@
         self.named = False
         self.accepted: set[link.Link] = set()
         self.left: dict[str, tuple[str, int]] = {}
-        self.reach = reach.Reach(
+        self.reachability = reachability.Reachability(
             context,
             own=self.own,
             by_service=self.by_service,
             link_to=self.link_to,
         )
-        self.telling = telling.Telling(
+        self.publisher = publisher.Publisher(
             context,
             introduced=self.introduced,
             peer_count=lambda: len(self.by_instance),
             status=status,
-            hurried=hurried,
+            expedited=expedited,
         )
 
     # Members.
@@ -156,9 +156,8 @@
     def silent_share(self) -> float:
         """Returns the part of the fleet that is not heard, 0 to 1.
 
-        One that said goodbye is not silent but gone: counted as silent, it
-        would take its part of every workspace's rate with it until the store
-        forgets it.
+        A peer that announced its end is gone and not silent; its part of
+        every workspace's rate is free at once.
         """
         living = [peer for peer in self.by_instance.values() if not peer.ended]
         silent = sum(self.is_silent(peer) for peer in living)
@@ -217,7 +216,7 @@
 
     def link_ready(self, item: link.Link) -> None:
         """Takes the introduction on a stream."""
-        self.reach.forget()
+        self.reachability.forget()
         assert item.peer is not None
         peer = self.learn(item.peer)
         if peer is None:
@@ -248,7 +247,7 @@
 
     def link_lost(self, item: link.Link) -> None:
         """Takes the end of a stream."""
-        self.reach.forget()
+        self.reachability.forget()
         self.accepted.discard(item)
         for peer in self.by_instance.values():
             if peer.outgoing is item:
@@ -277,7 +276,7 @@
     ) -> None:
         """Takes a target's state."""
         if known.target_id != told.target_id or known.ready != told.ready:
-            self.reach.forget()
+            self.reachability.forget()
             self.context.log.event(
                 "target_state",
                 peer=known.instance,
@@ -304,17 +303,17 @@
         if peer is not None:
             self.on_counts(peer, counts.counts)
 
-    def bye_heard(self, item: link.Link) -> None:
+    def leave_heard(self, item: link.Link) -> None:
         """Takes that a peer's process ends."""
         peer = self.peer_of(item)
         if peer is not None and not peer.ended:
             peer.ended = True
             self.context.log.event("peer_ended", peer=peer.member.instance)
 
-    def say_bye(self) -> None:
-        """Tells all peers that this process ends."""
+    def announce_leave(self) -> None:
+        """Announces to all peers that this process ends."""
         for item in self.introduced():
-            item.send(frames.Bye())
+            item.send(frames.Leave())
 
     def call_frame(self, item: link.Link, frame: frames.Frame) -> None:
         """Takes a frame of a call."""
@@ -334,9 +333,9 @@
         ]
         return [item for item in streams if item and item.peer]
 
-    def tell(self) -> None:
+    def publish(self) -> None:
         """Tells all peers this node's status now."""
-        self.telling.tell()
+        self.publisher.publish()
 
     def tick(self) -> None:
         """Tells the status when it is time, and notices silence."""
@@ -347,13 +346,13 @@
             found = peer.outgoing
             if found is not None and found.peer:
                 if found.is_due_to_ask(now):
-                    found.tell(self.status(found))
-                found.tell_quiet(now)
+                    found.send_status(self.status(found))
+                found.log_quiet(now)
             if peer.outgoing is None and now >= peer.dial_after:
                 self.dial(peer)
         for item in list(self.accepted):
             item.check(now)
-        self.telling.tick(now)
+        self.publisher.tick(now)
 
     def close(self) -> None:
         """Cuts all streams."""
--- a/src/currantcart/proxy/telling.py
+++ b/src/currantcart/proxy/publisher.py
@@ -1,4 +1,4 @@
-"""At which pace a node tells its peers its state."""
+"""Publishes a node's status and counts to its peers, at a bounded pace."""
 
 from __future__ import annotations
 
@@ -13,10 +13,10 @@
 SMALL_FLEET = 12
 COUNTS_MS = 45.0
 COUNTS_MS_PER_PEER = 0.5
-"""Added to the pace at which counts are told that can't wait for a status.
+"""Added to the interval between two updates of expedited counts.
 
-Each node admits on its own until it hears of the others, so a workspace near
-its limit exceeds it by what arrives in one exchange of counts.
+Between two updates each node admits on its own, so a workspace near its limit
+may exceed it by what arrives in the meantime.
 """
 
 
@@ -26,15 +26,16 @@
 
 
 def counts_pace_ms(peers: int) -> float:
-    """Returns the time between two tellings of counts that can't wait."""
+    """Returns the time between two updates of expedited counts."""
     return COUNTS_MS + COUNTS_MS_PER_PEER * peers
 
 
-class Telling:
-    """Tells peers this node's state, and the counts that can't wait.
+class Publisher:
+    """Publishes this node's status, and between statuses expedited counts.
 
     Attributes:
-      told_at: When the state was told last.
+      published_at: When the last status was sent.
+      expedited_at: When expedited counts were last due.
     """
 
     def __init__(
@@ -44,7 +45,7 @@
         introduced: Callable[[], Iterable[link.Link]],
         peer_count: Callable[[], int],
         status: Callable[[link.Link], frames.Status],
-        hurried: Callable[[], dict[str, int]],
+        expedited: Callable[[], dict[str, int]],
     ) -> None:
         """Sets it up.
 
@@ -53,37 +54,37 @@
           introduced: Returns one stream to each peer.
           peer_count: Returns how many peers are known.
           status: Returns the status for a stream.
-          hurried: Returns counts that can't wait for the next status.
+          expedited: Returns counts that can't wait for the next status.
         """
         self.context = context
         self.introduced = introduced
         self.peer_count = peer_count
         self.status = status
-        self.hurried = hurried
-        self.told_at = 0.0
-        self.hurried_at = 0.0
+        self.expedited = expedited
+        self.published_at = 0.0
+        self.expedited_at = 0.0
 
-    def tell(self) -> None:
-        """Tells all peers this node's status now."""
-        self.told_at = self.context.now
+    def publish(self) -> None:
+        """Sends all peers this node's status now."""
+        self.published_at = self.context.now
         for item in self.introduced():
-            item.tell(self.status(item))
+            item.send_status(self.status(item))
 
     def tick(self, now: float) -> None:
-        """Tells what is due."""
+        """Sends what is due."""
         count = self.peer_count()
         self.context.pace_ms = status_pace_ms(count)
-        if now - self.told_at >= self.context.pace_ms:
-            self.tell()
-        if now - self.hurried_at >= counts_pace_ms(count):
-            self.hurried_at = now
-            self.tell_counts(self.hurried())
-
-    def tell_counts(self, counts: dict[str, int]) -> None:
-        """Tells all peers counts that can't wait for the next status."""
+        if now - self.published_at >= self.context.pace_ms:
+            self.publish()
+        if now - self.expedited_at >= counts_pace_ms(count):
+            self.expedited_at = now
+            self.publish_counts(self.expedited())
+
+    def publish_counts(self, counts: dict[str, int]) -> None:
+        """Sends all peers the counts that have changed."""
         if not counts:
             return
         for item in self.introduced():
-            changed = item.untold(counts)
+            changed = item.unpublished(counts)
             if changed:
                 item.send(frames.Counts(changed))
--- a/src/currantcart/proxy/reach.py
+++ b/src/currantcart/proxy/reachability.py
@@ -25,7 +25,7 @@
 """
 
 
-class Reach:
+class Reachability:
     """What one node can reach.
 
     Attributes:
@@ -99,7 +99,7 @@
         if now - at < PRESSURE_MS:
             return levels
         levels = {}
-        for name, level in self.told_levels(service).items():
+        for name, level in self.reported_levels(service).items():
             direct = level if name == service else self.own_level(name)
             heard = level * FORWARDED if direct is None else direct
             if heard >= pressure.LEAST:
@@ -115,9 +115,9 @@
         """
         if not self.reachable(service):
             return None
-        return self.told_levels(service).get(service, 0.0)
+        return self.reported_levels(service).get(service, 0.0)
 
-    def told_levels(self, service: str) -> pressure.Pressure:
+    def reported_levels(self, service: str) -> pressure.Pressure:
         """Returns the levels that a service's targets tell, as a mean."""
         return pressure.mean(
             (target.limit, target.pressure)
--- a/src/currantcart/proxy/shutdown.py
+++ b/src/currantcart/proxy/shutdown.py
@@ -22,7 +22,7 @@
     context: proxy_context.Context,
     *,
     running: Callable[[], int],
-    tell: Callable[[], None],
+    publish: Callable[[], None],
     close_idle: Callable[[], None],
 ) -> int:
     """Leaves without cutting a request.
@@ -34,7 +34,7 @@
     Args:
       context: What the parts of the node share.
       running: Returns how many requests are on their way or at the target.
-      tell: Tells peers this node's state.
+      publish: Tells peers this node's state.
       close_idle: Closes callers' connections on which nothing runs.
 
     Returns:
@@ -43,13 +43,13 @@
     context.draining = True
     started = context.now
     context.log.event("draining", calls=running())
-    tell()
+    publish()
     end = started + context.settings.bounds.grace_seconds * 1_000
     end -= GRACE_MARGIN_MS
     while context.now < end:
         if not context.leaving and context.now - started >= LEAVE_MS:
             context.leaving = True
-            tell()
+            publish()
         if context.now - started >= STOP_TAKING_MS:
             context.closing = True
             close_idle()
--- a/src/currantcart/proxy/beliefs.py
+++ b/src/currantcart/proxy/state_log.py
@@ -1,4 +1,4 @@
-"""What a node believes and no single request shows: told when it changes."""
+"""Logs changes of state that no single request shows."""
 
 from __future__ import annotations
 
@@ -15,14 +15,14 @@
 """
 
 
-class Beliefs:
-    """Tells the ends and returns of freshness, rates and retry budgets.
+class StateLog:
+    """Logs when freshness, rates and retry budgets are exhausted or restored.
 
     Attributes:
       budgets: Retry budgets by service; whoever made this adds to it.
-      fresh: Whether keys could be served when it was told last.
-      over_rate: Workspaces that were told to be over their rate.
-      spent: Services that were told to have no repeats left.
+      fresh: Whether keys could be served at the last look.
+      over_rate: Workspaces that were over their rate at the last look.
+      spent: Services without repeats left at the last look.
     """
 
     def __init__(
@@ -39,13 +39,13 @@
         self.over_rate: set[str] = set()
         self.spent: set[str] = set()
 
-    def tell(self, now: float) -> None:
+    def log_changes(self, now: float) -> None:
         """Logs what has changed since the last time."""
-        self.tell_freshness(now)
-        self.tell_rates(now)
-        self.tell_budgets(now)
+        self.log_freshness(now)
+        self.log_rates(now)
+        self.log_budgets(now)
 
-    def tell_freshness(self, now: float) -> None:
+    def log_freshness(self, now: float) -> None:
         """Logs that keys can, or can no longer, be shown to be current."""
         known = self.context.freshness
         bound_ms = self.context.settings.bounds.revoke_seconds * 1_000
@@ -59,7 +59,7 @@
             age_ms=round(min(1e9, known.age(now))),
         )
 
-    def tell_rates(self, now: float) -> None:
+    def log_rates(self, now: float) -> None:
         """Logs workspaces that have come to the end of their rate, or back."""
         present = refused_lately(self.quotas.buckets, now)
         for name in sorted(present.keys() - self.over_rate):
@@ -76,7 +76,7 @@
             self.context.log.event("rate_regained", workspace=name)
         self.over_rate = set(present)
 
-    def tell_budgets(self, now: float) -> None:
+    def log_budgets(self, now: float) -> None:
         """Logs services whose repeats are used up, or are there again."""
         present = refused_lately(self.budgets, now)
         for name in sorted(present.keys() - self.spent):
--- a/src/currantcart/proxy/news.py
+++ b/src/currantcart/proxy/statuses.py
@@ -1,4 +1,4 @@
-"""What a node tells a peer of itself, and what it takes from a peer."""
+"""Builds the statuses sent to peers, and applies those received."""
 
 from __future__ import annotations
 
@@ -12,8 +12,8 @@
 from currantcart.workspace import quota
 
 
-class News:
-    """Fills in and takes apart the statuses of one node."""
+class Statuses:
+    """Builds and applies the statuses of one node."""
 
     def __init__(
         self,
@@ -58,7 +58,7 @@
             version=known.version,
             as_of_ms=known.as_of,
             target=self.guard.state(),
-            counts=item.untold(self.quotas.counts()),
+            counts=item.unpublished(self.quotas.counts()),
             left=self.peers.left.get(item.peer.instance) if item.peer else None,
         )
 
--- a/src/currantcart/proxy/target_exchange.py
+++ b/src/currantcart/proxy/target_exchange.py
@@ -139,7 +139,7 @@
         if response.status < status.SERVER_ERROR:
             self.speed.note(worked_ms)
         if now - job.arrived_at > job.opening.objective_ms * SLOW_OF_OBJECTIVE:
-            self.tell_slow(job, now)
+            self.log_slow(job, now)
         self.pool.give_back(connection, now)
         self.slots.free(job)
         if answer.refused:
@@ -149,7 +149,7 @@
             reply.answered(response.status, answer.head, response.body)
         return True
 
-    def tell_slow(self, job: job_module.Job, now: float) -> None:
+    def log_slow(self, job: job_module.Job, now: float) -> None:
         """Logs where the time of a slow request went."""
         self.context.log.event(
             "slow_at_target",
--- a/src/currantcart/proxy/target_reports.py
+++ b/src/currantcart/proxy/target_reports.py
@@ -29,7 +29,7 @@
         record: target_record.TargetRecord,
         own_guard: guard.Guard,
         registration: registration.Registration,
-        tell: Callable[[], None],
+        publish: Callable[[], None],
         hold: Callable[[asyncio.Task[None]], None],
     ) -> None:
         self.context = context
@@ -37,7 +37,7 @@
         self.record = record
         self.guard = own_guard
         self.registration = registration
-        self.tell = tell
+        self.publish = publish
         self.hold = hold
 
     async def answer(
@@ -96,7 +96,7 @@
             sequence=last.sequence,
             slots=last.slots,
         )
-        self.tell()
+        self.publish()
         self.registration.mark_dirty()
         if not ready:
             # The word that it leaves must outlive this process, and binds
@@ -145,4 +145,4 @@
         self.context.log.event(
             "target_restored", target=last.target_id, slots=last.slots
         )
-        self.tell()
+        self.publish()
--- a/src/currantcart/routing/picker.py
+++ b/src/currantcart/routing/picker.py
@@ -64,8 +64,8 @@
     limit: int = 1
     busy: int = 0
     open: int = 0
-    told_open: int = 0
-    told_at: float = 0.0
+    reported_open: int = 0
+    reported_at: float = 0.0
     cold_until: float = 0.0
     failure: float = 0.0
     failure_at: float = 0.0
@@ -74,20 +74,20 @@
 
     def load(self) -> float:
         """Returns the part of its slots that is taken, 1 when all are."""
-        busy = self.busy + self.open - self.told_open
+        busy = self.busy + self.open - self.reported_open
         return max(busy, self.open, 0) / max(1, self.limit)
 
     def hear(self, *, busy: int, limit: int, now: float) -> None:
         """Takes the load that the target's node tells."""
-        self.busy, self.limit, self.told_open = busy, limit, self.open
-        self.told_at = now
+        self.busy, self.limit, self.reported_open = busy, limit, self.open
+        self.reported_at = now
 
     def text(self, now: float) -> str:
         """Returns instance, load and its age for a log line."""
         state = "" if self.ready else "away:"
         return (
             f"{self.instance}:{state}{self.busy}/{self.limit}"
-            f":{now - self.told_at:.0f}ms"
+            f":{now - self.reported_at:.0f}ms"
         )
 
     def failing(self, now: float) -> float:
--- a/src/currantcart/workspace/quota.py
+++ b/src/currantcart/workspace/quota.py
@@ -1,9 +1,9 @@
-"""A workspace's rate over all nodes, by counts that the nodes tell each other.
+"""A workspace's rate over all nodes, by counts that the nodes exchange.
 
 Each node keeps a copy of each workspace's token bucket and takes from it what
-it admits itself and what its peers say they have admitted. What is admitted
-twice before the counts cross is a debt that the bucket carries, so the rate
-holds over time and only a burst is exceeded, by what arrives in one exchange.
+it admits itself and what its peers report. Tokens go negative when two nodes
+admit on the same ones, so the rate holds over time and only a burst can be
+exceeded, by what arrives between two reports.
 
 A peer that is silent, and may yet live behind a cut, is assumed to admit its
 even share. Both sides of a cut do the same sum, so that together they stay at
@@ -14,10 +14,10 @@
 
 import dataclasses
 
-from currantcart.workspace import unheard
+from currantcart.workspace import unreported
 
 NEAR_SHARE = 0.5
-HURRIED_RATE_PER_MS = 0.02
+EXPEDITED_RATE_PER_MS = 0.02
 START_SHARE = 0.5
 FREE_LEAST = 8.0
 FREE_OF_BURST_LEAST = 0.1
@@ -36,8 +36,8 @@
 the same reason already.
 """
 LAG_MS = 500.0
-HURRIED_LAG_MS = 150.0
-"""Times after which peers' admissions are heard, until the node says better."""
+EXPEDITED_LAG_MS = 150.0
+"""Initial times after which peers' admissions have been reported."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -52,8 +52,8 @@
       since: When the bucket was made.
       admitted: Requests that this node admitted since its start.
       refused_at: When it had no token last.
-      unheard: What others have probably admitted and not told.
-      hurried_at: When its counts began to be told at once; negative while
+      unreported: Estimate of what others have admitted and not reported.
+      expedited_at: When its counts began to be sent at once; negative while
         they wait for the next status.
     """
 
@@ -64,20 +64,20 @@
     since: float
     admitted: int = 0
     refused_at: float = float("-inf")
-    unheard: unheard.Unheard = dataclasses.field(
-        default_factory=unheard.Unheard
+    unreported: unreported.Unreported = dataclasses.field(
+        default_factory=unreported.Unreported
     )
-    hurried_at: float = -1.0
+    expedited_at: float = -1.0
 
-    def is_hurried(self) -> bool:
+    def is_expedited(self) -> bool:
         """Whether peers should hear at once what this node admits.
 
         That is so near the limit, and only where enough requests come to
         exceed it by much between two statuses.
         """
         return (
-            self.rate_per_ms >= HURRIED_RATE_PER_MS
-            and self.tokens - self.unheard.last < self.burst * NEAR_SHARE
+            self.rate_per_ms >= EXPEDITED_RATE_PER_MS
+            and self.tokens - self.unreported.last < self.burst * NEAR_SHARE
         )
 
 
@@ -90,7 +90,7 @@
       silent_share: Part of the fleet that is silent, 0 to 1.
       nodes: Nodes that admit, this one included.
       lag_ms: Time after which a peer's admission is heard with its status.
-      hurried_lag_ms: The same where counts are told at once.
+      expedited_lag_ms: The same where counts are sent at once.
     """
 
     def __init__(self) -> None:
@@ -99,7 +99,7 @@
         self.silent_share = 0.0
         self.nodes = 1
         self.lag_ms = LAG_MS
-        self.hurried_lag_ms = HURRIED_LAG_MS
+        self.expedited_lag_ms = EXPEDITED_LAG_MS
 
     def configure(
         self, rates: dict[str, tuple[float, float]], now: float
@@ -153,12 +153,12 @@
             return max(1.0, missing / max(rate, 1e-6))
         bucket.tokens -= 1.0
         bucket.admitted += 1
-        bucket.unheard.note_own(now)
+        bucket.unreported.note_own(now)
         return 0.0
 
     def left(self, bucket: Bucket, now: float) -> float:
         """Returns the tokens that are left when the others are thought of."""
-        return bucket.tokens - bucket.unheard.count(
+        return bucket.tokens - bucket.unreported.count(
             now,
             nodes=self.nodes,
             lag_ms=self.lag_of(bucket, now),
@@ -180,16 +180,16 @@
     def lag_of(self, bucket: Bucket, now: float) -> float:
         """Returns the time after which peers' admissions are heard.
 
-        Counts that have just become hurried are heard at once only when all
+        Counts that have just become expedited are heard at once only when all
         nodes have noticed that they are.
         """
-        if not bucket.is_hurried():
-            bucket.hurried_at = -1.0
+        if not bucket.is_expedited():
+            bucket.expedited_at = -1.0
             return self.lag_ms
-        if bucket.hurried_at < 0.0:
-            bucket.hurried_at = now
-        noticed = now - bucket.hurried_at >= self.hurried_lag_ms
-        return self.hurried_lag_ms if noticed else self.lag_ms
+        if bucket.expedited_at < 0.0:
+            bucket.expedited_at = now
+        noticed = now - bucket.expedited_at >= self.expedited_lag_ms
+        return self.expedited_lag_ms if noticed else self.lag_ms
 
     def give_back(self, workspace: str) -> None:
         """Returns the token of a request that did not run."""
@@ -225,7 +225,7 @@
                 self.refill(bucket, now)
                 more = count - told.get(name, 0)
                 bucket.tokens -= more
-                bucket.unheard.note_peer(more, now)
+                bucket.unreported.note_peer(more, now)
             told[name] = count
 
     def forget(self, peer: str) -> None:
@@ -233,12 +233,12 @@
         self.told.pop(peer, None)
 
     def set_fleet(
-        self, *, nodes: int, lag_ms: float, hurried_lag_ms: float
+        self, *, nodes: int, lag_ms: float, expedited_lag_ms: float
     ) -> None:
         """Takes how many nodes admit, and how late this one hears of it."""
         self.nodes = max(1, nodes)
         self.lag_ms = lag_ms
-        self.hurried_lag_ms = hurried_lag_ms
+        self.expedited_lag_ms = expedited_lag_ms
 
     def set_silent(self, share: float, now: float) -> None:
         """Takes which part of the fleet is silent, 0 to 1.
@@ -254,10 +254,10 @@
                 bucket.tokens = min(bucket.tokens, bucket.burst * (1.0 - share))
         self.silent_share = share
 
-    def hurried(self) -> dict[str, int]:
+    def expedited(self) -> dict[str, int]:
         """Returns the counts that peers should hear at once."""
         return {
             name: bucket.admitted
             for name, bucket in self.buckets.items()
-            if bucket.admitted and bucket.is_hurried()
+            if bucket.admitted and bucket.is_expedited()
         }
--- a/src/currantcart/workspace/unheard.py
+++ b/src/currantcart/workspace/unreported.py
@@ -1,10 +1,9 @@
-"""What the other nodes have probably admitted and not told yet.
+"""Estimates the admissions that other nodes have not reported yet.
 
-Each node takes from its copy of a bucket what it admits itself and what it
-hears of the others. Between two tellings all nodes would admit on the same
-tokens: a workspace that presses everywhere gets many times what is left, and
-then nothing until the debt is paid. So a node assumes that the others admit as
-it does, each by its part of the workspace's demand, until it hears of them.
+Each node takes from its copy of a bucket what it admits itself and what its
+peers report. Between two reports all nodes would admit on the same tokens, so
+a node assumes that the others admit as it does, each by its part of the
+workspace's demand, until their reports arrive.
 """
 
 from __future__ import annotations
@@ -21,8 +20,8 @@
 STEP_MS = 10.0
 
 
-class Unheard:
-    """One workspace's admissions that cross each other unseen.
+class Unreported:
+    """The estimate for one workspace.
 
     Attributes:
       own: Requests that this node admitted, faded with time, without the
@@ -58,7 +57,7 @@
             self.recent.append((now, 1))
 
     def note_peer(self, count: int, now: float) -> None:
-        """Takes what a peer tells that it has admitted."""
+        """Takes what a peer reports that it has admitted."""
         self.fade(now)
         self.fleet += max(0, count)
 
@@ -69,7 +68,7 @@
     def count(
         self, now: float, *, nodes: int, lag_ms: float, free: float
     ) -> float:
-        """Returns what the others have probably admitted and not told.
+        """Returns what the others have probably admitted and not reported.
 
         Args:
           now: Milliseconds of the node's clock.
@@ -83,7 +82,7 @@
             self.fade(now)
             self.own += told
             self.fleet += told
-        # One request says nothing of how hard callers press.
+        # A single request is no evidence of demand at the other nodes.
         pressing = max(0, self.recent_sum - 1) if nodes > 1 else 0
         self.last = pressing * (1.0 / self.share(nodes) - 1.0)
         return max(0.0, self.last - free)
--- a/tests/admission/test_speed.py
+++ b/tests/admission/test_speed.py
@@ -14,9 +14,9 @@
     made = speed.Speed()
     for _ in range(speed.MEASURED_MIN - 1):
         made.note(100.0)
-    assert made.told_ms == 0.0
+    assert made.reported_ms == 0.0
     made.note(100.0)
-    assert made.told_ms == pytest.approx(100.0)
+    assert made.reported_ms == pytest.approx(100.0)
 
 
 def test_a_target_that_turns_slow_is_told_within_some_requests() -> None:
@@ -25,7 +25,7 @@
         made.note(50.0)
     for _ in range(100):
         made.note(200.0)
-    assert made.told_ms > 150.0
+    assert made.reported_ms > 150.0
 
 
 def test_targets_with_the_same_mix_of_work_seem_alike() -> None:
@@ -35,5 +35,5 @@
         made = speed.Speed()
         for _ in range(500):
             made.note(880.0 if rng.random() < 0.04 else 55.0)
-        told.append(made.told_ms)
+        told.append(made.reported_ms)
     assert max(told) / min(told) < 1.3
--- a/tests/call/test_budget.py
+++ b/tests/call/test_budget.py
@@ -46,12 +46,7 @@
 
 
 def test_no_window_gets_more_than_all_nodes_together_may_send() -> None:
-    """Answers get lost at all nodes at once, and each would send again.
-
-    A node that only watched itself would let a fleet send twelve times the
-    fixed part, and the service that was about to recover gets the whole
-    storm.
-    """
+    """Guards against each node using the whole fixed number."""
     rng = random.Random(3)
     nodes = [new_budget() for _ in range(12)]
     requests: list[float] = []
@@ -75,12 +70,7 @@
 
 
 def test_a_long_storm_at_a_high_rate_stays_within_the_ratio() -> None:
-    """Targets turn half of what they get away for ten seconds and more.
-
-    What left the window must leave the sums too; kept, it raises what is
-    allowed for as long as the node runs, and the targets that turn requests
-    away get ever more of them.
-    """
+    """Guards against requests that count after they have left the window."""
     rng = random.Random(1)
     kept = new_budget()
     requests: list[float] = []
@@ -99,11 +89,7 @@
 
 
 def test_requests_that_fail_early_do_not_lower_the_budget_at_once() -> None:
-    """Targets turn requests away, and chains that fail make fewer calls.
-
-    Counted by the present window alone, the repeats that would finish some of
-    the chains shrink just when they are needed.
-    """
+    """Guards against a budget that shrinks with the calls of failing chains."""
     kept = new_budget()
     taken = 0
     for at in range(10_000):
@@ -134,10 +120,7 @@
 
 
 def test_callers_that_move_to_another_node_count_once() -> None:
-    """All callers of one node leave for another one, and targets fail.
-
-    Counted at both nodes, they would allow twice the repeats.
-    """
+    """Guards against callers that count at two nodes."""
     one, two = new_budget(), new_budget()
     requests: list[float] = []
     repeats: list[float] = []
@@ -153,11 +136,7 @@
 
 
 def test_a_small_fault_gets_all_the_repeats_that_it_needs() -> None:
-    """The answers of a few calls are lost within a moment.
-
-    Paced like a storm, the later ones would get no repeat though most of the
-    budget is there, and their chains fail.
-    """
+    """Guards against pacing repeats that the budget bears at once."""
     kept = new_budget()
     for at in range(0, 60_000, 50):
         now = float(at)
@@ -168,11 +147,7 @@
 
 
 def test_a_fault_of_some_seconds_gets_what_it_asks_for() -> None:
-    """A quarter of the answers is lost for four seconds, then none.
-
-    The budget bears that. Made to last for a fault that might have been
-    longer, it would be left over, and the chains of four seconds failed.
-    """
+    """Guards against saving repeats for a fault that may last longer."""
     rng = random.Random(8)
     kept = new_budget()
     for at in range(10_000):
--- a/tests/proxy/test_frames.py
+++ b/tests/proxy/test_frames.py
@@ -7,7 +7,7 @@
 import pytest
 
 from currantcart import errors
-from currantcart.proxy import frames, packing
+from currantcart.proxy import compression, frames
 
 
 def opening(number: int, *, body: bytes = b"") -> frames.Open:
@@ -31,7 +31,7 @@
 def writer(*, packed: bool) -> frames.FrameWriter:
     made = frames.FrameWriter()
     if packed:
-        made.packer = packing.Packer()
+        made.compressor = compression.Compressor()
     return made
 
 
@@ -84,7 +84,7 @@
 
 
 def packed(data: bytes) -> bytes:
-    return frames.encoded(frames.Packed(packing.Packer().pack(data)))
+    return frames.encoded(frames.Packed(compression.Compressor().pack(data)))
 
 
 @pytest.mark.parametrize(
--- a/tests/proxy/test_outcomes.py
+++ b/tests/proxy/test_outcomes.py
@@ -211,7 +211,7 @@
     """
     front, near, far = await two_targets(mesh)
     far.node.guard.ready = False
-    far.node.peers.tell()
+    far.node.peers.publish()
     await mesh.settle(0.2)
     assert (await mesh.ask(front, fake_mesh.request())).status == 200
     near.target.seen.clear()
@@ -340,7 +340,7 @@
     assert found is not None
     found.asked_at = mesh.clock.now() - 300.0
     assert found.is_quiet(mesh.clock.now())
-    front.node.peers.reach.forget()
-    reached = front.node.peers.reach.reachable("grades")
+    front.node.peers.reachability.forget()
+    reached = front.node.peers.reachability.reachable("grades")
     assert "b" in [target.instance for target in reached]
     assert (await mesh.ask(front, fake_mesh.request())).status == 200
--- a/tests/workspace/test_telling.py
+++ b/tests/workspace/test_publisher.py
@@ -7,7 +7,7 @@
 import pytest
 
 from currantcart.proxy import node as node_module
-from currantcart.proxy import telling
+from currantcart.proxy import publisher
 from currantcart.workspace import quota
 
 RATE = 200.0
@@ -25,17 +25,17 @@
 
     def __init__(self, count: int, *, rate: float, started: bool) -> None:
         peers = count - 1
-        self.pace = int(telling.status_pace_ms(peers))
-        hurried = telling.counts_pace_ms(peers)
+        self.pace = int(publisher.status_pace_ms(peers))
+        expedited = publisher.counts_pace_ms(peers)
         lag_ms = node_module.heard_after_ms(self.pace)
-        hurried_lag_ms = node_module.heard_after_ms(hurried)
-        self.hurried_pace = int(hurried_lag_ms - node_module.TRANSIT_MS)
+        expedited_lag_ms = node_module.heard_after_ms(expedited)
+        self.expedited_pace = int(expedited_lag_ms - node_module.TRANSIT_MS)
         self.rng = random.Random(3)
         self.nodes = [quota.Quotas() for _ in range(count)]
         for number, made in enumerate(self.nodes):
             made.configure({"mill": (rate, rate)}, 0.0)
             made.set_fleet(
-                nodes=count, lag_ms=lag_ms, hurried_lag_ms=hurried_lag_ms
+                nodes=count, lag_ms=lag_ms, expedited_lag_ms=expedited_lag_ms
             )
             for other in range(count):
                 if other != number:
@@ -52,7 +52,7 @@
         for number, made in enumerate(self.nodes):
             since = step - self.phases[number]
             due = since % self.pace == 0 or (
-                since % self.hurried_pace == 0 and bool(made.hurried())
+                since % self.expedited_pace == 0 and bool(made.expedited())
             )
             count = made.buckets["mill"].admitted
             if not due or count == self.told[number]:
--- a/tests/workspace/test_quota.py
+++ b/tests/workspace/test_quota.py
@@ -6,12 +6,12 @@
 
 import pytest
 
-from currantcart.proxy import link, telling
+from currantcart.proxy import link, publisher
 from currantcart.proxy import node as node_module
 from currantcart.workspace import quota
 
 RATE, BURST = 200.0, 200.0
-NOTICED_MS = link.suspect_ms(telling.STATUS_MS) + node_module.TICK_MS
+NOTICED_MS = link.suspect_ms(publisher.STATUS_MS) + node_module.TICK_MS
 ALLOWED = (RATE * 5 + BURST) * 1.1 + 20
 
 
@@ -37,10 +37,12 @@
             self.admitted.append(now)
         return taken
 
-    def know_fleet(self, told_ms: float) -> None:
+    def know_fleet(self, reported_ms: float) -> None:
         for node in self.nodes:
             node.set_fleet(
-                nodes=len(self.nodes), lag_ms=told_ms, hurried_lag_ms=told_ms
+                nodes=len(self.nodes),
+                lag_ms=reported_ms,
+                expedited_lag_ms=reported_ms,
             )
 
     def tell(self, now: float) -> None:
@@ -80,18 +82,18 @@
     *,
     per_second: float,
     cut_at: float = 1e9,
-    told_ms: int = 60,
+    reported_ms: int = 60,
     places: int | None = None,
     from_ms: int = 0,
 ) -> None:
     """Lets callers press for ten seconds, at all nodes or at the first few."""
     rng = random.Random(5)
-    fleet.know_fleet(told_ms)
+    fleet.know_fleet(reported_ms)
     for step in range(10_000):
         now = float(step)
         if now == cut_at:
             fleet.cut = {0, 1, 2, 3}
-        if step % told_ms == 0:
+        if step % reported_ms == 0:
             fleet.tell(now)
         if now == cut_at + NOTICED_MS:
             fleet.note_silence(now)
@@ -114,11 +116,11 @@
 
 
 @pytest.mark.parametrize("from_ms", [0, 3_000])
-@pytest.mark.parametrize("told_ms", [100, 520])
+@pytest.mark.parametrize("reported_ms", [100, 520])
 @pytest.mark.parametrize("nodes", [16, 91])
 @pytest.mark.parametrize("per_second", [600, 1_500, 6_000])
 def test_a_fleet_keeps_a_rate_however_hard_callers_press(
-    nodes: int, per_second: int, told_ms: int, from_ms: int
+    nodes: int, per_second: int, reported_ms: int, from_ms: int
 ) -> None:
     """Each node admits on its own until it hears of the others.
 
@@ -127,14 +129,14 @@
     they have heard of each other, and the workspace's neighbours pay for it.
     """
     fleet = Fleet(nodes)
-    play(fleet, per_second=per_second, told_ms=told_ms, from_ms=from_ms)
+    play(fleet, per_second=per_second, reported_ms=reported_ms, from_ms=from_ms)
     assert fleet.most_in_a_window() <= ALLOWED
 
 
 def test_the_pace_of_hurried_counts_keeps_a_rate_at_ninety_nodes() -> None:
     fleet = Fleet(90)
-    pace = telling.counts_pace_ms(90)
-    play(fleet, per_second=1_500, told_ms=round(pace))
+    pace = publisher.counts_pace_ms(90)
+    play(fleet, per_second=1_500, reported_ms=round(pace))
     assert fleet.most_in_a_window() <= ALLOWED
 
 
@@ -147,7 +149,7 @@
     altogether between them.
     """
     fleet = Fleet(nodes)
-    play(fleet, per_second=8 * RATE, told_ms=110)
+    play(fleet, per_second=8 * RATE, reported_ms=110)
     for start in range(2_000, 10_000, 1_000):
         served = sum(start <= at < start + 1_000 for at in fleet.admitted)
         assert 0.5 * RATE <= served <= 1.5 * RATE
@@ -159,7 +161,7 @@
     nodes: int, places: int
 ) -> None:
     fleet = Fleet(nodes)
-    play(fleet, per_second=900, told_ms=110, places=places)
+    play(fleet, per_second=900, reported_ms=110, places=places)
     assert len(fleet.admitted) >= 0.95 * (RATE * 10)
     assert fleet.most_in_a_window() <= ALLOWED
 
@@ -176,7 +178,9 @@
     the nodes have heard of each other.
     """
     fleet = Fleet(nodes)
-    play(fleet, per_second=per_second, told_ms=400, places=min(nodes, places))
+    play(
+        fleet, per_second=per_second, reported_ms=400, places=min(nodes, places)
+    )
     assert fleet.served(1_000) >= 0.97 * fleet.exactly(1_000)
 
 
@@ -190,7 +194,7 @@
         for _ in range(count):
             node.admit(name, 0.0)
     node.buckets["calm"].tokens = BURST
-    assert node.hurried() == {"mill": 90}
+    assert node.expedited() == {"mill": 90}
 
 
 def test_both_sides_of_a_cut_keep_to_the_rate_together() -> None:
