--- a/tests/workspace/test_quota.py
+++ b/tests/workspace/test_quota.py
@@ -37,6 +37,13 @@
             self.admitted.append(now)
         return taken
 
+    def restart(self, now: float) -> None:
+        """Starts all nodes anew; none knows another until its first tick."""
+        self.nodes = [quota.Quotas() for _ in self.nodes]
+        for node in self.nodes:
+            node.configure({"mill": (RATE, BURST)}, now)
+        self.told.clear()
+
     def know_fleet(self, reported_ms: float) -> None:
         for node in self.nodes:
             node.set_fleet(
@@ -85,6 +92,7 @@
     reported_ms: int = 60,
     places: int | None = None,
     from_ms: int = 0,
+    restart_at: float = 1e9,
 ) -> None:
     """Lets callers press for ten seconds, at all nodes or at the first few."""
     rng = random.Random(5)
@@ -93,6 +101,10 @@
         now = float(step)
         if now == cut_at:
             fleet.cut = {0, 1, 2, 3}
+        if now == restart_at:
+            fleet.restart(now)
+        if now == restart_at + node_module.TICK_MS:
+            fleet.know_fleet(reported_ms)
         if step % reported_ms == 0:
             fleet.tell(now)
         if now == cut_at + NOTICED_MS:
@@ -221,3 +233,14 @@
     node.configure({"mill": (10.0, 5.0)}, 1.0)
     admitted = sum(node.admit("mill", 1.0) == 0.0 for _ in range(50))
     assert admitted == 5
+
+
+@pytest.mark.parametrize("nodes", [12, 16, 91])
+@pytest.mark.parametrize("per_second", [300, 600, 1_000, 2_000, 6_000])
+def test_a_fleet_keeps_a_rate_when_all_nodes_start_anew(
+    nodes: int, per_second: int
+) -> None:
+    """Guards against admissions that all nodes forget at a common start."""
+    fleet = Fleet(nodes)
+    play(fleet, per_second=per_second, reported_ms=110, restart_at=2_000.0)
+    assert fleet.most_in_a_window() <= ALLOWED
