Count what young peers have admitted before they are first heard of

What callers would see: a workspace that presses at five times its rate or more while all nodes start anew gets up to 1,692 requests in 5 s, where 1,340 are allowed; its neighbours' requests wait.

Cause: what a peer had admitted when it was first heard of was taken as past. That holds for a peer that has long been there when this node starts; where all have just started, it is what each admitted until the first exchange, and none of it was ever counted. The class of the incident: state of a fleet-wide sum that a start forgets.

Ruled out: half a burst in a new bucket and the uncounted part of its first second (FREE_AT_START_MS): with the first counts taken, the bound holds with both as they are; without, it breaks with either at zero at the highest demand.

Change: nodes tell their age as they introduce themselves; of the first counts of a process younger than 2 s a node takes the part that lies in its own time. A node that alone starts anew takes nearly nothing, so no workspace is refused inside its rate for it.

--- a/src/currantcart/proxy/context.py
+++ b/src/currantcart/proxy/context.py
@@ -29,6 +29,7 @@
       closing: Whether it answers callers that they must go elsewhere.
       pace_ms: Time between two statuses on a stream.
       leaving: Whether it takes no more requests for its target.
+      started_at: When this process began.
     """
 
     settings: proxy_settings.ProxySettings
@@ -48,6 +49,10 @@
     closing: bool = False
     leaving: bool = False
     pace_ms: float = 400.0
+    started_at: float = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        self.started_at = self.now
 
     @property
     def now(self) -> float:
--- a/src/currantcart/proxy/frames.py
+++ b/src/currantcart/proxy/frames.py
@@ -77,12 +77,14 @@
       member: The sender.
       now_ms: Sender's clock.
       unpacks: Whether the sender reads `Packed`.
+      age_ms: Time since the sender's start; negative when it isn't told.
     """
 
     protocol: int
     member: Member
     now_ms: float
     unpacks: bool = False
+    age_ms: float = -1.0
 
 
 class Status(msgspec.Struct, array_like=True, tag=2):
--- a/src/currantcart/proxy/link.py
+++ b/src/currantcart/proxy/link.py
@@ -137,6 +137,7 @@
         self.owner = owner
         self.dialled = dialled
         self.peer: frames.Member | None = None
+        self.peer_started_at = float("-inf")
         self.ready = False
         self.heard_at = context.now
         self.calls: dict[int, object] = {}
@@ -160,7 +161,11 @@
         self.transport = cast(asyncio.Transport, transport)
         self.send(
             frames.Hello(
-                PROTOCOL, self.owner.member, self.context.now, unpacks=True
+                PROTOCOL,
+                self.owner.member,
+                self.context.now,
+                unpacks=True,
+                age_ms=self.context.now - self.context.started_at,
             )
         )
 
@@ -233,6 +238,8 @@
         if far and hello.unpacks:
             self.writer.compressor = compression.Compressor()
         self.status_now, self.status_at = hello.now_ms, self.context.now
+        if hello.age_ms >= 0.0:
+            self.peer_started_at = self.context.now - hello.age_ms
         self.owner.link_ready(self)
 
     def hear_status(self, status: frames.Status) -> None:
--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -91,7 +91,7 @@
         settings = context.settings
         self.context = context
         self.deployment = deployment
-        self.quotas = quota.Quotas()
+        self.quotas = quota.Quotas(started_at=context.started_at)
         self.record = target_record.TargetRecord()
         self.guard = guard.Guard(context)
         self.inbound = inbound.Inbound(context, self.guard)
--- a/src/currantcart/proxy/peer.py
+++ b/src/currantcart/proxy/peer.py
@@ -21,6 +21,7 @@
       incoming: Stream on which it opens calls to this node.
       heard_at: When it was heard last, or first named.
       version: Configuration version that it serves.
+      started_at: When its process began; far back when that isn't known.
       ended: Whether it said that its process ends.
     """
 
@@ -32,6 +33,7 @@
     dial_after: float = 0.0
     heard_at: float = 0.0
     version: int = 0
+    started_at: float = float("-inf")
     ended: bool = False
 
     def links(self) -> Iterable[link.Link]:
--- a/src/currantcart/proxy/peers.py
+++ b/src/currantcart/proxy/peers.py
@@ -223,6 +223,7 @@
             item.cut("own_address")
             return
         peer.heard_at = self.context.now
+        peer.started_at = item.peer_started_at
         if item.dialled:
             self.drop_predecessors(peer, item)
             peer.outgoing = item
--- a/src/currantcart/proxy/statuses.py
+++ b/src/currantcart/proxy/statuses.py
@@ -77,4 +77,9 @@
         self, peer: peer_module.Peer, counts: dict[str, int]
     ) -> None:
         """Takes what a peer has admitted."""
-        self.quotas.hear(peer.member.process, counts, self.context.now)
+        self.quotas.hear(
+            peer.member.process,
+            counts,
+            self.context.now,
+            started_at=peer.started_at,
+        )
--- a/src/currantcart/workspace/quota.py
+++ b/src/currantcart/workspace/quota.py
@@ -35,6 +35,8 @@
 Nothing is known of the parts of the nodes then, and the burst is held back for
 the same reason already.
 """
+YOUNG_MS = 2_000.0
+"""Age up to which a process may have begun together with this one."""
 LAG_MS = 500.0
 EXPEDITED_LAG_MS = 150.0
 """Initial times after which peers' admissions have been reported."""
@@ -85,6 +87,7 @@
     """The buckets of all workspaces.
 
     Attributes:
+      started_at: When this process began.
       buckets: Buckets by workspace.
       told: What each peer said last that it had admitted, by workspace.
       silent_share: Part of the fleet that is silent, 0 to 1.
@@ -93,7 +96,8 @@
       expedited_lag_ms: The same where counts are sent at once.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, started_at: float = 0.0) -> None:
+        self.started_at = started_at
         self.buckets: dict[str, Bucket] = {}
         self.told: dict[str, dict[str, int]] = {}
         self.silent_share = 0.0
@@ -206,19 +210,27 @@
             if bucket.admitted
         }
 
-    def hear(self, peer: str, counts: dict[str, int], now: float) -> None:
+    def hear(
+        self,
+        peer: str,
+        counts: dict[str, int],
+        now: float,
+        *,
+        started_at: float = float("-inf"),
+    ) -> None:
         """Takes what a peer says it has admitted.
 
         Args:
           peer: The peer's process, new with each of its starts.
           counts: Requests that it admitted since its start, by workspace.
           now: Milliseconds of the node's clock.
+          started_at: When the peer's process began.
         """
         told = self.told.get(peer)
         if told is None:
-            # What it admitted before we first heard of it lies in the past.
-            self.told[peer] = dict(counts)
-            return
+            past = self.past_share(started_at, now)
+            told = {name: round(count * past) for name, count in counts.items()}
+            self.told[peer] = told
         for name, count in counts.items():
             bucket = self.buckets.get(name)
             if bucket is not None:
@@ -228,6 +240,17 @@
                 bucket.unreported.note_peer(more, now)
             told[name] = count
 
+    def past_share(self, started_at: float, now: float) -> float:
+        """Returns the part of a peer's first counts that lies in the past.
+
+        That is all of them, unless the peer's process is young: where all
+        nodes start anew, what each admits until it is heard of counts.
+        """
+        age_ms = now - started_at
+        if age_ms > YOUNG_MS:
+            return 1.0
+        return max(0.0, 1.0 - (now - self.started_at) / max(1.0, age_ms))
+
     def forget(self, peer: str) -> None:
         """Forgets a process that is gone."""
         self.told.pop(peer, None)
--- a/tests/proxy/test_node.py
+++ b/tests/proxy/test_node.py
@@ -241,3 +241,21 @@
     assert "b" in front.node.peers.by_instance
     assert not [line for line in mesh.lines if "event=peer_dropped" in line]
     assert (await mesh.ask(front, fake_mesh.request())).status == 200
+
+
+async def test_a_peer_tells_how_long_its_process_lives(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    first = await mesh.add("a")
+    second = await mesh.add("b")
+    await mesh.settle(3.0)
+    known = first.node.peers.by_instance["b"]
+    assert known.started_at == pytest.approx(
+        second.node.context.started_at, abs=50.0
+    )
+    await mesh.restart(second)
+    await mesh.settle(0.5)
+    known = first.node.peers.by_instance["b"]
+    assert known.started_at == pytest.approx(
+        second.node.context.started_at, abs=50.0
+    )
--- a/tests/workspace/test_quota.py
+++ b/tests/workspace/test_quota.py
@@ -28,6 +28,7 @@
         self.admitted: list[float] = []
         self.told: dict[int, dict[str, int]] = {}
         self.cut: set[int] = set()
+        self.started_at = 0.0
 
     def ask(self, number: int, now: float) -> bool:
         if self.exact.admit("mill", now) == 0.0:
@@ -39,7 +40,8 @@
 
     def restart(self, now: float) -> None:
         """Starts all nodes anew; none knows another until its first tick."""
-        self.nodes = [quota.Quotas() for _ in self.nodes]
+        self.started_at = now
+        self.nodes = [quota.Quotas(started_at=now) for _ in self.nodes]
         for node in self.nodes:
             node.configure({"mill": (RATE, BURST)}, now)
         self.told.clear()
@@ -61,7 +63,12 @@
             for other, peer in enumerate(self.nodes):
                 reached = (number in self.cut) == (other in self.cut)
                 if reached and number != other:
-                    peer.hear(str(number), counts, now)
+                    peer.hear(
+                        f"{number}-{self.started_at}",
+                        counts,
+                        now,
+                        started_at=self.started_at,
+                    )
 
     def note_silence(self, now: float) -> None:
         for number, node in enumerate(self.nodes):
@@ -227,6 +234,19 @@
     assert node.admit("mill", 10.0) == 0.0
 
 
+@pytest.mark.parametrize(
+    ("started_at", "left"),
+    [(1_000.0, 50.0), (1_500.0, 50.0), (500.0, 75.0), (-5_000.0, 100.0)],
+)
+def test_first_counts_of_a_young_peer_count_as_far_as_they_are_present(
+    started_at: float, left: float
+) -> None:
+    node = quota.Quotas(started_at=1_000.0)
+    node.configure({"mill": (0.0, BURST)}, 1_000.0)
+    node.hear("p", {"mill": 50}, 1_500.0, started_at=started_at)
+    assert node.buckets["mill"].tokens == left
+
+
 def test_a_lower_rate_binds_at_once() -> None:
     node = quota.Quotas()
     node.configure({"mill": (RATE, BURST)}, 0.0)
