Note the known fleet at each tick, not with repeats alone

Cause: the largest fleet known lately was noted only when a repeat was decided or metrics were read. A node that had none for a minute, then lost sight of the others, took the whole fixed number.

Change: the node's tick notes it, the share is only read.

Test: test_a_calm_node_that_loses_sight_of_the_others_keeps_its_share failed before (1.0 of at most 1/3).

--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -306,6 +306,7 @@
         self.outbound.refresh_own()
         self.peers.tick()
         self.feed.tick()
+        self.outbound.repeats.note_fleet()
         now = self.context.now
         self.quotas.set_silent(self.peers.silent_share(), now)
         peer_count = len(self.peers.by_instance)
--- a/src/currantcart/proxy/repeats.py
+++ b/src/currantcart/proxy/repeats.py
@@ -65,9 +65,12 @@
             window_ms=self.window_ms, started_at=self.context.now
         )
 
+    def note_fleet(self) -> None:
+        """Takes how many nodes are known; to be called at a steady pace."""
+        self.fixed_part.note(self.node_count(), self.context.now)
+
     def share(self) -> float:
         """Returns this node's part of the fixed number of repeats."""
-        self.fixed_part.note(self.node_count(), self.context.now)
         return self.fixed_part.share(self.context.now)
 
     def standings(self) -> dict[str, budget.Standing]:
--- a/tests/proxy/test_repeats.py
+++ b/tests/proxy/test_repeats.py
@@ -191,3 +191,12 @@
     bounds = msgspec.structs.replace(before.bounds, retry_window_seconds=5.0)
     front.node.use_settings(msgspec.structs.replace(before, bounds=bounds))
     assert front.node.outbound.repeats.share() == 0.0
+
+
+async def test_a_calm_node_that_loses_sight_of_the_others_keeps_its_share(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """Guards against a fleet that is noted only when there is a repeat."""
+    front = await ask_rejecting_targets(mesh, requests=0)
+    front.node.peers.by_instance.clear()
+    assert front.node.outbound.repeats.share() <= 1 / 3
