--- a/tests/fakes/mesh.py
+++ b/tests/fakes/mesh.py
@@ -98,6 +98,11 @@
     ).encode()  # fmt: skip
 
 
+def silent(seen: http_target.Seen) -> None:
+    """Gives no answer."""
+    del seen
+
+
 @dataclasses.dataclass
 class Reply:
     """What a caller got; status 0 when the connection ended first."""
@@ -372,6 +377,23 @@
         caller.leave()
         return reply
 
+    async def repeated_run(self, request_id: str) -> Place:
+        """Returns the place of a target that runs a rejected request.
+
+        Another target has rejected it before, so its run is a repeat. It does
+        not answer until it is given a script.
+        """
+        front = await self.add("a", service="other")
+        near = await self.add("b")
+        far = await self.add("c", domain="far")
+        await self.settle(SHARING_SECONDS)
+        near.target.script = http_target.not_executed
+        far.target.script = silent
+        caller = await self.connect(front)
+        caller.send(request(request_id=request_id))
+        await self.settle(0.1)
+        return far
+
     async def settle(self, seconds: float = 1.5) -> None:
         """Lets the nodes find each other."""
         await asyncio.sleep(seconds)
--- a/tests/proxy/test_chains.py
+++ b/tests/proxy/test_chains.py
@@ -2,23 +2,17 @@
 
 from __future__ import annotations
 
-from bench.standins import http_target
 from currantcart.admission import slots
 from currantcart.call import lineage
 from currantcart.proxy import call as call_module
 from tests.fakes import mesh as fake_mesh
 
 
-def silent(seen: http_target.Seen) -> None:
-    """Gives no answer."""
-    del seen
-
-
 async def running(
     mesh: fake_mesh.Mesh, place: fake_mesh.Place, request_id: str
 ) -> fake_mesh.Caller:
     """Starts a request that its target does not answer."""
-    place.target.script = silent
+    place.target.script = fake_mesh.silent
     caller = await mesh.connect(place)
     caller.send(fake_mesh.request(request_id=request_id))
     await mesh.settle(0.1)
@@ -87,15 +81,7 @@
     The calls of that run count as repeats as well. Counted as first ones,
     they would allow the services below ever more repeats in a storm.
     """
-    front = await mesh.add("a", service="other")
-    near = await mesh.add("b")
-    far = await mesh.add("c", domain="far")
-    await mesh.settle(fake_mesh.SHARING_SECONDS)
-    near.target.script = http_target.not_executed
-    far.target.script = silent
-    caller = await mesh.connect(front)
-    caller.send(fake_mesh.request(request_id="9c4"))
-    await mesh.settle(0.1)
+    far = await mesh.repeated_run("9c4")
     call = await call_of(mesh, far, "9c4.7b4")
     assert call.lineage.repeated
     kept = far.node.outbound.repeats.budgets["grades"]
--- a/tests/proxy/test_repeats.py
+++ b/tests/proxy/test_repeats.py
@@ -69,11 +69,6 @@
     assert "currantcart_retry_budget_nodes_age_seconds" in text
 
 
-def silent(seen: http_target.Seen) -> None:
-    """Gives no answer."""
-    del seen
-
-
 def arrivals(mesh: fake_mesh.Mesh, prefix: str) -> collections.Counter[str]:
     """Returns how often each request arrived at any target, by id."""
     return collections.Counter(
@@ -88,16 +83,9 @@
     mesh: fake_mesh.Mesh,
 ) -> None:
     """A service below got more repeats than its budget from such calls."""
-    front = await mesh.add("a", service="other")
-    near = await mesh.add("b")
-    far = await mesh.add("c", domain="far")
-    await mesh.settle(fake_mesh.SHARING_SECONDS)
-    near.target.script = http_target.not_executed
-    far.target.script = silent
-    caller = await mesh.connect(front)
-    caller.send(fake_mesh.request(request_id="9c4"))
-    await mesh.settle(0.1)
-    near.target.script = far.target.script = http_target.sealed
+    far = await mesh.repeated_run("9c4")
+    for place in mesh.places.values():
+        place.target.script = http_target.sealed
     replies = await asyncio.gather(
         *(
             mesh.ask(
