--- a/src/currantcart/proxy/link.py
+++ b/src/currantcart/proxy/link.py
@@ -117,6 +117,7 @@
     Attributes:
       dialled: Whether this side opened it and may open calls.
       peer: The node on the other side; None before its first frame.
+      peer_started_at: When its process began; far back when that isn't known.
       ready: Whether both sides know each other's clocks.
       heard_at: When something arrived last.
       echoed_at: When the newest status was sent that the peer has echoed.
--- a/tests/proxy/test_chains.py
+++ b/tests/proxy/test_chains.py
@@ -76,11 +76,7 @@
 async def test_calls_of_a_further_run_count_as_repeats(
     mesh: fake_mesh.Mesh,
 ) -> None:
-    """A target turns a request away, and another one runs it.
-
-    The calls of that run count as repeats as well. Counted as first ones,
-    they would allow the services below ever more repeats in a storm.
-    """
+    """Guards against calls of repeated runs that count as first requests."""
     far = await mesh.repeated_run("9c4")
     call = await call_of(mesh, far, "9c4.7b4")
     assert call.lineage.repeated
--- a/tests/workspace/test_quota.py
+++ b/tests/workspace/test_quota.py
@@ -141,12 +141,7 @@
 def test_a_fleet_keeps_a_rate_however_hard_callers_press(
     nodes: int, per_second: int, reported_ms: int, from_ms: int
 ) -> None:
-    """Each node admits on its own until it hears of the others.
-
-    All callers of a workspace press at all nodes. Each node sees tokens left
-    and admits on them; together they exceed the rate by what arrives before
-    they have heard of each other, and the workspace's neighbours pay for it.
-    """
+    """Guards against nodes that admit on the same tokens between reports."""
     fleet = Fleet(nodes)
     play(fleet, per_second=per_second, reported_ms=reported_ms, from_ms=from_ms)
     assert fleet.most_in_a_window() <= ALLOWED
@@ -161,12 +156,7 @@
 
 @pytest.mark.parametrize("nodes", [16, 91])
 def test_a_pressing_workspace_is_served_steadily(nodes: int) -> None:
-    """Callers press at eight times the rate.
-
-    Where all nodes rush for each token that comes, the workspace runs into
-    debt: it is served in bursts that fill the targets' queues, and refused
-    altogether between them.
-    """
+    """Guards against service in bursts with nothing admitted between them."""
     fleet = Fleet(nodes)
     play(fleet, per_second=8 * RATE, reported_ms=110)
     for start in range(2_000, 10_000, 1_000):
