Name the compressor where its doc text still said packer

Cause: the renaming left an old name in a doc text, and one local name that a reader has to decode. Found on reading the whole change again. Change: doc texts and one local name; no behaviour.

--- a/src/currantcart/proxy/frames.py
+++ b/src/currantcart/proxy/frames.py
@@ -262,7 +262,7 @@
 
     Attributes:
       buffer: Frames that were not written yet.
-      packer: Compresses them; None while the other side can't read that, or
+      compressor: Compresses them; None while the other side can't read that, or
         nothing is gained by it.
     """
 
@@ -296,6 +296,7 @@
 
     Attributes:
       rest: Bytes of a frame that isn't whole yet.
+      decompressor: Restores what was compressed; None before the first.
     """
 
     def __init__(self) -> None:
--- a/src/currantcart/proxy/repeats.py
+++ b/src/currantcart/proxy/repeats.py
@@ -133,8 +133,8 @@
         taken = kept.spend(self.context.now, left=standing.left)
         name = "repeats" if taken else "repeats_refused"
         self.context.counts.add(name, call.service, cause)
-        first = cause == CALLED_BY_REPEAT
-        sent = CALLED_BY_REPEAT if first else "tried_again"
+        is_call = cause == CALLED_BY_REPEAT
+        sent = CALLED_BY_REPEAT if is_call else "tried_again"
         self.context.log.event(
             sent if taken else "repeat_refused",
             id=call.request.request_id,
