Have nodes ask the store for the configuration one by one

Callers saw nothing of it; the fleet paid for it. Cause: a node without a configuration read it each 200 ms from its first moment on, whoever else did, and once the word of the others was old all nodes from the ninth in rank on read at the same moment, each 700 ms for as long as the store was away. Ranks went by name alone, so a failure domain that is cut off from the store had to fail from its first node to its last before another domain's turn came.

Change: a node waits until the store has named its peers, and then for its rank; beyond the first ten, ranks follow 100 ms apart; a read that brought nothing is repeated the later the higher the rank; who got through goes on whatever its rank; the first of each failure domain come before the second.

--- a/src/currantcart/fleet/freshness.py
+++ b/src/currantcart/fleet/freshness.py
@@ -14,7 +14,11 @@
 POLL_MS = 700.0
 TAKE_OVER_MS = 1_200.0
 STAGGER_MS = 60.0
-STAGGER_RANKS_MAX = 8
+FIRST_RANKS = 10
+LATER_STAGGER_MS = 100.0
+FIRST_POLL_MS = 200.0
+FIRST_WAIT_MS_MAX = 1_500.0
+FAILING_PACES_MAX = 10
 MARGIN_MS = 500.0
 NEVER = float("-inf")
 
@@ -55,7 +59,32 @@
         return self.age(now) < bound_ms - MARGIN_MS
 
 
-def poll_due(*, now: float, as_of: float, last_poll: float, rank: int) -> bool:
+def patience_ms(rank: int) -> float:
+    """Returns how old the word of others may be before a node asks itself.
+
+    The first few follow each other closely, so that a reader that fails is
+    replaced before keys stop; a store that answers nobody is not asked by a
+    whole fleet at once.
+    """
+    first = min(max(rank - 1, 0), FIRST_RANKS)
+    later = max(rank - 1 - FIRST_RANKS, 0)
+    return TAKE_OVER_MS + STAGGER_MS * first + LATER_STAGGER_MS * later
+
+
+def retry_ms(rank: int) -> float:
+    """Returns the time between two reads that bring nothing."""
+    return POLL_MS * min(1 + rank, FAILING_PACES_MAX)
+
+
+def poll_due(
+    *,
+    now: float,
+    as_of: float,
+    last_poll: float,
+    rank: int,
+    is_reader: bool = False,
+    failing: bool = False,
+) -> bool:
     """Decides whether this node asks the store for the configuration.
 
     The first in rank asks at a steady pace and tells the others. The others
@@ -67,10 +96,32 @@
       as_of: When the configuration was known to be the newest.
       last_poll: When this node asked last.
       rank: Its place among the live nodes, 0 for the first.
+      is_reader: Whether what it knows comes from its own last read.
+      failing: Whether its last read failed.
     """
-    if now - last_poll < POLL_MS:
+    pace = retry_ms(rank) if failing else POLL_MS
+    if now - last_poll < pace:
         return False
     if rank == 0:
         return True
-    patience = TAKE_OVER_MS + STAGGER_MS * min(rank - 1, STAGGER_RANKS_MAX)
+    patience = TAKE_OVER_MS if is_reader else patience_ms(rank)
     return now - as_of >= patience
+
+
+def first_poll_due(
+    *, now: float, found_at: float, last_poll: float, rank: int
+) -> bool:
+    """Decides whether a node without a configuration asks the store.
+
+    Its peers may have one, or the first in rank is about to read it.
+
+    Args:
+      now: Milliseconds of the node's clock.
+      found_at: When the node learned who its peers are.
+      last_poll: When this node asked last.
+      rank: Its place among the live nodes, 0 for the first.
+    """
+    if rank == 0:
+        return now - last_poll >= FIRST_POLL_MS
+    wait = min(patience_ms(rank) - TAKE_OVER_MS, FIRST_WAIT_MS_MAX)
+    return now - found_at >= wait and now - last_poll >= retry_ms(rank)
--- a/src/currantcart/proxy/config_feed.py
+++ b/src/currantcart/proxy/config_feed.py
@@ -17,7 +17,6 @@
 UNREAD_MAX = 20
 WATCH_MS = 10_000.0
 WATCH_AGAIN_SECONDS = 1.0
-NOTHING_YET_MS = 200.0
 
 Parse = Callable[[bytes], catalog_model.Catalog]
 
@@ -28,6 +27,7 @@
     Attributes:
       document: The configuration in force, as the store holds it.
       as_of: The store's revision as the configuration was read last.
+      found_at: When the store first named the peers; None before.
     """
 
     def __init__(
@@ -48,25 +48,37 @@
         self.document = b""
         self.as_of = 0
         self.taken_at = 0.0
+        self.found_at: float | None = None
         self.last_poll = freshness.NEVER
+        self.read_as_of = freshness.NEVER
         self.polling: asyncio.Task[None] | None = None
         self.reached = True
 
     def tick(self) -> None:
         """Asks the store when it is this node's turn."""
+        if self.is_due():
+            self.begin_poll()
+
+    def is_due(self) -> bool:
+        """Tells whether it is this node's turn to ask the store."""
         assert self.peers is not None
-        now = self.context.now
         known = self.context.freshness
-        due = freshness.poll_due(
-            now=now,
-            as_of=known.as_of,
+        if known.version:
+            return freshness.poll_due(
+                now=self.context.now,
+                as_of=known.as_of,
+                last_poll=self.last_poll,
+                rank=self.peers.rank(),
+                is_reader=known.as_of == self.read_as_of,
+                failing=not self.reached,
+            )
+        # Peers that the store names are asked before the store itself.
+        return self.found_at is not None and freshness.first_poll_due(
+            now=self.context.now,
+            found_at=self.found_at,
             last_poll=self.last_poll,
             rank=self.peers.rank(),
         )
-        if not known.version and now - self.last_poll >= NOTHING_YET_MS:
-            due = True
-        if due:
-            self.begin_poll()
 
     def begin_poll(self) -> asyncio.Task[None]:
         """Reads the configuration, unless that is under way."""
@@ -125,6 +137,7 @@
         if item is None:
             return
         self.as_of = item.as_of
+        self.read_as_of = asked_at
         if self.take(item.value, asked_at, "store"):
             self.push()
 
--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -285,6 +285,7 @@
     async def find_peers(self) -> None:
         """Reads who is there, and what the process before left."""
         await self.registration.start()
+        self.feed.found_at = self.context.now
         await self.reports.take_first()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(PEER_SECONDS_MAX):
--- a/src/currantcart/proxy/peers.py
+++ b/src/currantcart/proxy/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 from collections.abc import Callable, Iterable
 
 from currantcart.proxy import context as proxy_context
@@ -173,11 +174,25 @@
         return silence > link.suspect_ms(self.context.pace_ms)
 
     def rank(self) -> int:
-        """Returns this node's place among the live nodes, by name."""
-        own = self.member.instance
-        return sum(
-            name < own and self.is_reached(peer)
-            for name, peer in self.by_instance.items()
+        """Returns this node's place among the live nodes.
+
+        The first of each failure domain come before the second of any, so
+        that a domain that is cut off from the store holds up nobody else.
+        """
+        own = self.member
+        ahead = 0
+        sizes: collections.Counter[str] = collections.Counter()
+        for name, peer in self.by_instance.items():
+            if not self.is_reached(peer):
+                continue
+            domain = peer.member.failure_domain
+            if domain != own.failure_domain:
+                sizes[domain] += 1
+            elif name < own.instance:
+                ahead += 1
+        return ahead + sum(
+            min(size, ahead + (domain < own.failure_domain))
+            for domain, size in sizes.items()
         )
 
     # Streams.
--- a/tests/fakes/leased.py
+++ b/tests/fakes/leased.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import dataclasses
 import itertools
 
 from currantcart.store import leased, port
+from tests.fakes import loop as fake_loop
 
 LATE_SECONDS = 2.0
 WATCH_STEP_MS = 10.0
@@ -26,6 +28,7 @@
       behind: Keys that stale reads know; None for all.
       reads: Calls that read.
       writes: Calls that write.
+      calls: Calls by the node that made them and by kind.
     """
 
     items: dict[str, tuple[leased.Item, int]] = dataclasses.field(
@@ -39,12 +42,24 @@
     behind: set[str] | None = None
     reads: int = 0
     writes: int = 0
+    calls: collections.Counter[tuple[str, str]] = dataclasses.field(
+        default_factory=collections.Counter
+    )
     leases: set[int] = dataclasses.field(default_factory=set)
     numbers: itertools.count[int] = dataclasses.field(
         default_factory=lambda: itertools.count(1)
     )
 
-    async def meet_faults(self) -> None:
+    def made(self, *kinds: str, by: str = "") -> int:
+        """Returns how many calls of some kinds were made, by one or all."""
+        return sum(
+            count
+            for (node, kind), count in self.calls.items()
+            if kind in kinds and by in ("", node)
+        )
+
+    async def meet_faults(self, kind: str) -> None:
+        self.calls[fake_loop.OWNER.get(), kind] += 1
         await asyncio.sleep(0.004)
         if self.silent:
             await asyncio.sleep(1.2)
@@ -73,7 +88,7 @@
 
     async def get(self, key: str) -> leased.Item | None:
         self.reads += 1
-        await self.meet_faults()
+        await self.meet_faults("get")
         held = self.items.get(key)
         if held is None:
             return None
@@ -81,7 +96,7 @@
 
     async def list(self, prefix: str, *, stale: bool) -> list[leased.Item]:
         self.reads += 1
-        await self.meet_faults()
+        await self.meet_faults("list_stale" if stale else "list")
         known = self.behind if stale and self.behind is not None else self.items
         return [
             held[0]
@@ -93,7 +108,7 @@
         self, prefix: str, *, after: int, wait_ms: float
     ) -> leased.Changes:
         self.reads += 1
-        await self.meet_faults()
+        await self.meet_faults("watch")
         if after < self.compacted:
             raise leased.HistoryLost("compacted", peer="store")
         for _ in range(round(wait_ms / WATCH_STEP_MS)):
@@ -111,7 +126,7 @@
         self, key: str, value: bytes, *, lease: int, expected: int
     ) -> leased.PutAnswer:
         self.writes += 1
-        await self.meet_faults()
+        await self.meet_faults("put")
         if self.late:
             asyncio.get_running_loop().call_later(
                 LATE_SECONDS, self.write, key, value, lease, expected
@@ -142,14 +157,14 @@
     async def grant(self, *, ttl_ms: float) -> int:
         del ttl_ms
         self.writes += 1
-        await self.meet_faults()
+        await self.meet_faults("grant")
         lease = next(self.numbers)
         self.leases.add(lease)
         return lease
 
     async def keep(self, lease: int) -> bool:
         self.reads += 1
-        await self.meet_faults()
+        await self.meet_faults("keep")
         return lease in self.leases
 
     async def end(self, lease: int) -> None:
--- a/tests/fleet/test_freshness.py
+++ b/tests/fleet/test_freshness.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import itertools
+
+import pytest
+
 from currantcart.fleet import freshness
 
 
@@ -45,3 +49,60 @@
     due = freshness.poll_due
     assert due(now=10_000, as_of=8_700, last_poll=0, rank=1)
     assert due(now=10_000, as_of=8_200, last_poll=0, rank=11)
+
+
+def test_the_node_that_got_through_goes_on_whatever_its_rank() -> None:
+    """The store serves a few nodes of a large fleet only."""
+    assert due_after(1_300, rank=90, is_reader=True)
+    assert not due_after(1_300, rank=90)
+
+
+def test_a_node_whose_reads_fail_leaves_the_next_ones_to_others() -> None:
+    """A store that is away is asked by every node at the reader's pace."""
+    assert due_after(9_000, rank=2, polled=800)
+    assert not due_after(9_000, rank=2, polled=800, failing=True)
+    assert due_after(9_000, rank=0, polled=800, failing=True)
+    assert due_after(9_000, rank=2, polled=2_100, failing=True)
+
+
+def due_after(
+    age: float,
+    *,
+    rank: int,
+    polled: float = 60_000.0,
+    is_reader: bool = False,
+    failing: bool = False,
+) -> bool:
+    """Returns whether a node asks whose configuration has some age."""
+    return freshness.poll_due(
+        now=100_000.0,
+        as_of=100_000.0 - age,
+        last_poll=100_000.0 - polled,
+        rank=rank,
+        is_reader=is_reader,
+        failing=failing,
+    )
+
+
+def test_ranks_far_behind_ask_a_store_that_is_away_one_by_one() -> None:
+    waits = [freshness.patience_ms(rank) for rank in range(200)]
+    assert waits == sorted(waits)
+    late = [wait for wait in waits if wait > freshness.patience_ms(11)]
+    gaps = [after - before for before, after in itertools.pairwise(late)]
+    assert min(gaps) >= 100
+
+
+@pytest.mark.parametrize(
+    ("rank", "waited", "due"),
+    [(0, 0, True), (1, 0, True), (5, 200, False), (5, 240, True),
+     (900, 1_400, False), (900, 1_500, True)],
+)  # fmt: skip
+def test_without_a_configuration_the_first_in_rank_asks_first(
+    rank: int, waited: float, due: bool
+) -> None:
+    assert due == freshness.first_poll_due(
+        now=5_000.0 + waited,
+        found_at=5_000.0,
+        last_poll=freshness.NEVER,
+        rank=rank,
+    )
--- /dev/null
+++ b/tests/proxy/test_store_calls.py
@@ -0,0 +1,91 @@
+"""What nodes ask of the store when many of them start or lose it."""
+
+from __future__ import annotations
+
+from currantcart.platform import names
+from tests.fakes import mesh as fake_mesh
+
+FLEET = 16
+
+
+async def fleet(mesh: fake_mesh.Mesh, count: int = FLEET) -> None:
+    """Starts nodes in four failure domains."""
+    for number in range(count):
+        await mesh.add(f"n{number:02}", domain="abcd"[number % 4])
+
+
+async def test_nodes_that_start_before_the_configuration_ask_as_one(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """All nodes poll for a configuration that isn't written yet."""
+    mesh.store.items.clear()
+    await fleet(mesh)
+    await mesh.settle(1.0)
+    mesh.store.operate(names.CONFIG_KEY, fake_mesh.document(1))
+    await mesh.settle(1.0)
+    assert all(place.node.is_ready() for place in mesh.places.values())
+    assert mesh.store.made("get") <= 2 * FLEET
+
+
+async def test_a_node_that_starts_again_has_the_configuration_from_a_peer(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """Each start in a rolling restart reads what every peer holds."""
+    await fleet(mesh, 6)
+    await mesh.settle(2.0)
+    place = mesh.places["n05"]
+    before = mesh.store.made("get", by="n05")
+    await mesh.restart(place)
+    await mesh.settle(0.3)
+    assert place.node.context.freshness.version == 1
+    assert mesh.store.made("get", by="n05") == before
+
+
+async def test_nodes_that_all_start_again_have_the_configuration_soon(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """All machines lose power at once."""
+    await fleet(mesh)
+    await mesh.settle(2.0)
+    before = mesh.store.made("get")
+    for place in mesh.places.values():
+        mesh.kill(place)
+    for place in mesh.places.values():
+        await mesh.restart(place)
+    await mesh.settle(1.0)
+    assert all(place.node.is_ready() for place in mesh.places.values())
+    assert mesh.store.made("get") - before <= FLEET / 2
+
+
+async def test_a_store_that_is_away_is_asked_by_few(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """Every node polls a store that answers nobody, twice in three seconds."""
+    await fleet(mesh, 48)
+    await mesh.settle(4.0)
+    before = mesh.store.made("get")
+    mesh.store.refusing = True
+    await mesh.settle(9.0)
+    mesh.store.refusing = False
+    assert mesh.store.made("get") - before <= 9 * 48 / 2.5
+    await mesh.settle(2.5)
+    for place in mesh.places.values():
+        known = place.node.context.freshness
+        assert known.age(mesh.clock.now()) < 2_500
+
+
+async def test_the_first_of_each_failure_domain_come_before_the_second(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """A failure domain is cut off whose names come first."""
+    for domain in "abc":
+        for number in range(4):
+            await mesh.add(f"{domain}{number}", domain=domain)
+    await mesh.settle(6.0)
+    ranks = {
+        name: place.node.peers.rank() for name, place in mesh.places.items()
+    }
+    assert sorted(ranks, key=ranks.__getitem__) == [
+        f"{domain}{number}" for number in range(4) for domain in "abc"
+    ]
+    assert sorted(ranks.values()) == list(range(12))
