Count each call to the store, by kind and result

Operators who ask what their nodes cost the store could not tell: a write of an entry takes a lease and up to three transactions and counted as one call, and three places counted, each with names of its own. A thin store between the parts of a node and the platform's counts all of them; the labels and the metric's name stay, `call` now tells read, watch, list, list_stale, grant, renew and write apart. No decision changes.

--- a/src/currantcart/proxy/config_feed.py
+++ b/src/currantcart/proxy/config_feed.py
@@ -104,13 +104,11 @@
                 changes = await self.store.watch(
                     self.key, after=self.as_of, wait_ms=WATCH_MS
                 )
-            except errors.CurrantcartError as error:
-                self.context.counts.add("store_calls", "watch", error.code)
+            except errors.CurrantcartError:
                 # The next poll tells from where to go on.
                 self.as_of = 0
                 await asyncio.sleep(WATCH_AGAIN_SECONDS)
                 continue
-            self.context.counts.add("store_calls", "watch", "done")
             self.as_of = max(self.as_of, changes.as_of)
             if changes.any:
                 await asyncio.wait([self.begin_poll()])
@@ -121,7 +119,6 @@
         try:
             item = await self.store.get(self.key)
         except errors.CurrantcartError as error:
-            self.context.counts.add("store_calls", "config", error.code)
             if self.reached:
                 self.context.log.event(
                     "config_unread", code=error.code, detail=error.detail
@@ -130,7 +127,6 @@
             return
         finally:
             self.polling = None
-        self.context.counts.add("store_calls", "config", "done")
         if not self.reached:
             self.context.log.event("config_read_again")
         self.reached = True
--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -31,7 +31,7 @@
 )
 from currantcart.proxy import context as proxy_context
 from currantcart.proxy import settings as proxy_settings
-from currantcart.store import leased
+from currantcart.store import counted, leased
 from currantcart.workspace import quota
 
 TICK_SECONDS = 0.05
@@ -89,6 +89,7 @@
         deployment: Deployment,
     ) -> None:
         settings = context.settings
+        store = counted.CountedStore(store, context.counts)
         self.context = context
         self.deployment = deployment
         self.quotas = quota.Quotas(started_at=context.started_at)
--- a/src/currantcart/proxy/registration.py
+++ b/src/currantcart/proxy/registration.py
@@ -104,7 +104,7 @@
     async def start(self) -> None:
         """Reads the entries, and what the process before left in its own."""
         while True:
-            if await self.guarded("read", self.read_all()):
+            if await self.guarded(self.read_all()):
                 return
             await asyncio.sleep(LIST_MS_ALONE / 1_000)
 
@@ -140,19 +140,17 @@
             )
             return None
 
-    async def guarded(self, call: str, work: Awaitable[None]) -> bool:
-        """Runs a call to the store; returns whether it was carried out."""
+    async def guarded(self, work: Awaitable[object]) -> bool:
+        """Makes calls to the store; returns whether they were carried out."""
         try:
             await work
         except errors.CurrantcartError as error:
-            self.context.counts.add("store_calls", call, error.code)
             if self.reached:
                 self.context.log.event(
                     "store_lost", code=error.code, detail=error.detail
                 )
             self.reached = False
             return False
-        self.context.counts.add("store_calls", call, "done")
         if not self.reached:
             self.context.log.event("store_regained")
             self.reached_at = self.context.now
@@ -214,7 +212,7 @@
 
     async def guarded_write(self) -> None:
         """Writes the own entry if the store can be reached."""
-        await self.guarded("write", self.write())
+        await self.guarded(self.write())
 
     async def keep(self) -> None:
         """Renews the lease."""
@@ -230,12 +228,12 @@
         listed_at = self.context.now
         while True:
             if self.dirty or not self.lease:
-                await self.guarded("write", self.write())
+                await self.guarded(self.write())
             elif self.context.now - self.kept_at >= KEEP_MS:
-                await self.guarded("keep", self.keep())
+                await self.guarded(self.keep())
             if self.context.now - listed_at >= self.list_pace():
                 listed_at = self.context.now
-                await self.guarded("read_stale", self.read(stale=True))
+                await self.guarded(self.read(stale=True))
             wait = LIST_MS_ALONE if self.dirty else RETRY_MS
             await asyncio.sleep(wait / 1_000)
 
@@ -249,4 +247,4 @@
     async def end(self) -> None:
         """Leaves the target's record in the store for the next process."""
         if self.dirty:
-            await self.guarded("write", self.write())
+            await self.guarded(self.write())
