Take up the entry and lease of the process before

What a fleet pays for starts grows with the fleet and with each rolling restart. A started node read all entries anew at the full price, created a lease, and wrote its entry twice: the first write expected no entry, so the one of the process before made it fail.

Change: the start reads a cheap stale list (a fresh one where that names nobody), renews the lease that the own entry shows, and writes the entry under the revision it has read. That write is what proves the stale view of the own entry: until it is carried out, nothing of it is used for the target, and if the entry is another one by now, what it holds goes first, as before. An entry that has lapsed brings nothing back.

Ruled out: reading the own key besides (a full call more, and the write tells the same); using the stale view at once (a target that leaves could come back for a moment: test_a_stale_read_brings_back_no_target_that_leaves).

--- a/src/currantcart/fleet/target_record.py
+++ b/src/currantcart/fleet/target_record.py
@@ -59,10 +59,7 @@
     def restore(self, report: Report | None) -> None:
         """Takes the record that the process before left in the store."""
         self.restored = True
-        if report is not None and (
-            self.last is None or is_after(report, self.last)
-        ):
-            self.last = report
+        self.last = newest(self.last, report)
 
     def hear_left(self, target_id: str, born: int) -> bool:
         """Takes a peer's word that a target here has said it leaves.
@@ -116,6 +113,13 @@
         return Report(report.target_id, last.born, last.sequence, Phase.LEFT)
 
 
+def newest(first: Report | None, second: Report | None) -> Report | None:
+    """Returns the one of two reports that counts."""
+    if first is None or second is None:
+        return first or second
+    return second if is_after(second, first) else first
+
+
 def is_after(report: Report, last: Report) -> bool:
     """Tells whether a report counts after another one.
 
--- a/src/currantcart/platform/store.py
+++ b/src/currantcart/platform/store.py
@@ -25,6 +25,7 @@
     value: str = ""
     revision: int = 0
     as_of: int = 0
+    lease: int = 0
 
 
 class Event(msgspec.Struct):
@@ -72,6 +73,7 @@
         base64.b64decode(stored.value),
         stored.revision,
         stored.as_of,
+        stored.lease,
     )
 
 
--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -287,11 +287,12 @@
         """Reads who is there, and what the process before left."""
         await self.registration.start()
         self.feed.found_at = self.context.now
-        await self.reports.take_first()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(PEER_SECONDS_MAX):
                 await self.peer_heard.wait()
         self.found.set()
+        await self.registration.confirmed.wait()
+        await self.reports.take_first()
         self.reports.use_restored()
 
     async def run_ticks(self) -> None:
--- a/src/currantcart/proxy/registration.py
+++ b/src/currantcart/proxy/registration.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 from collections.abc import Awaitable, Callable
 
 import msgspec
@@ -48,13 +49,30 @@
 ENTRY = msgspec.json.Decoder(Entry)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Left:
+    """What the process before left in the store.
+
+    Attributes:
+      target: Last report of the target that counted.
+      lease: Lease that holds the entry; 0 without one.
+    """
+
+    target: target_record.Report | None
+    lease: int
+
+
 class Registration:
     """Keeps one node's entry and reads those of the others.
 
     Attributes:
       lease: Lease that holds the entry; 0 without one.
+      left: What the process before left, as a stale read shows it; None
+        without one. Only a write under its revision confirms it.
       revision: The store's revision of the entry; 0 while there is none.
       dirty: Whether the entry has to be written anew.
+      listed: Set once the entries were read.
+      confirmed: Set once it is known what the process before left.
       reached: Whether the last call to the store was carried out.
       reached_at: Since when, or since the start.
     """
@@ -80,8 +98,11 @@
         self.on_restored = on_restored
         self.peer_count = peer_count
         self.lease = 0
+        self.left: Left | None = None
         self.revision = 0
         self.dirty = True
+        self.listed = asyncio.Event()
+        self.confirmed = asyncio.Event()
         self.kept_at = 0.0
         self.writing = asyncio.Lock()
         self.reached = True
@@ -104,31 +125,34 @@
     async def start(self) -> None:
         """Reads the entries, and what the process before left in its own."""
         while True:
-            if await self.guarded(self.read_all()):
-                return
+            if await self.guarded(self.read_first()):
+                break
             await asyncio.sleep(LIST_MS_ALONE / 1_000)
+        self.listed.set()
 
-    async def read_all(self) -> None:
-        """Reads all entries, the newest ones."""
-        await self.read(stale=False)
+    async def read_first(self) -> None:
+        """Reads all entries, the newest ones if older ones name nobody."""
+        if not await self.read(stale=True):
+            await self.read(stale=False)
 
-    async def read(self, *, stale: bool) -> None:
-        """Reads all entries."""
+    async def read(self, *, stale: bool) -> int:
+        """Reads all entries; returns how many others it has found."""
         members: list[frames.Member] = []
-        own: target_record.Report | None = None
         for item in await self.store.list(self.prefix, stale=stale):
             entry = self.decode(item)
-            if entry is None:
-                continue
             if item.key == self.key:
-                own = entry.target
-                if not self.record.restored:
-                    self.revision = item.revision
-            else:
+                self.note_left(item, entry)
+            elif entry is not None:
                 members.append(entry.member)
-        if not self.record.restored:
-            self.restore(own)
         self.on_members(members, self.is_settled)
+        return len(members)
+
+    def note_left(self, item: leased.Item, entry: Entry | None) -> None:
+        """Notes what the own entry holds until this process has written it."""
+        if self.confirmed.is_set():
+            return
+        self.revision = item.revision
+        self.left = Left(entry.target if entry else None, item.lease)
 
     def decode(self, item: leased.Item) -> Entry | None:
         """Reads an entry; None for one that another writer has spoilt."""
@@ -168,10 +192,11 @@
     async def write_once(self) -> None:
         """Writes the own entry if it still is what this node knows of it."""
         if not self.lease:
-            self.lease = await self.store.grant(ttl_ms=TTL_MS)
+            self.lease = await self.take_lease()
+        left = self.left
         # A report that comes during the write must have another follow.
         self.dirty = False
-        value = msgspec.json.encode(Entry(self.member, self.record.last))
+        value = msgspec.json.encode(Entry(self.member, self.target()))
         try:
             answer = await self.store.put(
                 self.key, value, lease=self.lease, expected=self.revision
@@ -182,12 +207,34 @@
         self.kept_at = self.context.now
         self.revision = answer.revision
         if answer.outcome is leased.PutOutcome.WRITTEN:
+            self.confirm(left)
             return
         self.dirty = True
         if answer.outcome is leased.PutOutcome.LEASE_ENDED:
             self.lease = 0
         elif answer.present is not None:
             self.take_present(answer.present)
+        else:
+            # The entry has lapsed, and what a stale read showed of it is old.
+            self.left = None
+
+    async def take_lease(self) -> int:
+        """Returns the lease of the process before, or a new one."""
+        if self.left is not None and self.left.lease:
+            if await self.store.keep(self.left.lease):
+                return self.left.lease
+            self.left = None
+        return await self.store.grant(ttl_ms=TTL_MS)
+
+    def target(self) -> target_record.Report | None:
+        """Returns the target's report as the entry has to hold it."""
+        left = self.left.target if self.left else None
+        return target_record.newest(left, self.record.last)
+
+    def confirm(self, left: Left | None) -> None:
+        """Takes that the entry was what this process has read of it."""
+        if not self.confirmed.is_set():
+            self.restore(left.target if left else None)
 
     def take_present(self, present: leased.Item) -> None:
         """Takes what the own entry holds against expectation.
@@ -207,6 +254,8 @@
 
     def restore(self, report: target_record.Report | None) -> None:
         """Takes what the process before knew of the target."""
+        self.left = None
+        self.confirmed.set()
         self.record.restore(report)
         self.on_restored()
 
@@ -225,6 +274,7 @@
 
     async def run(self) -> None:
         """Keeps the entry and reads the others', for the node's life."""
+        await self.listed.wait()
         listed_at = self.context.now
         while True:
             if self.dirty or not self.lease:
--- a/src/currantcart/store/leased.py
+++ b/src/currantcart/store/leased.py
@@ -22,12 +22,14 @@
       value: Its bytes.
       revision: The store's revision as it was written.
       as_of: The store's revision as it was read; 0 where that wasn't told.
+      lease: Lease that holds it; 0 without one.
     """
 
     key: str
     value: bytes
     revision: int
     as_of: int = 0
+    lease: int = 0
 
 
 class PutOutcome(enum.Enum):
--- a/tests/fakes/leased.py
+++ b/tests/fakes/leased.py
@@ -26,6 +26,7 @@
       late: Whether it does writes later, without an answer.
       compacted: Revision up to which its history is gone.
       behind: Keys that stale reads know; None for all.
+      older: What stale reads show; None for what is there now.
       reads: Calls that read.
       writes: Calls that write.
       calls: Calls by the node that made them and by kind.
@@ -40,6 +41,7 @@
     late: bool = False
     compacted: int = 0
     behind: set[str] | None = None
+    older: dict[str, tuple[leased.Item, int]] | None = None
     reads: int = 0
     writes: int = 0
     calls: collections.Counter[tuple[str, str]] = dataclasses.field(
@@ -97,10 +99,11 @@
     async def list(self, prefix: str, *, stale: bool) -> list[leased.Item]:
         self.reads += 1
         await self.meet_faults("list_stale" if stale else "list")
-        known = self.behind if stale and self.behind is not None else self.items
+        items = self.older if stale and self.older is not None else self.items
+        known = self.behind if stale and self.behind is not None else items
         return [
-            held[0]
-            for key, held in sorted(self.items.items())
+            dataclasses.replace(held[0], lease=held[1])
+            for key, held in sorted(items.items())
             if key.startswith(prefix) and key in known
         ]
 
--- a/tests/proxy/test_store_calls.py
+++ b/tests/proxy/test_store_calls.py
@@ -89,3 +89,61 @@
         f"{domain}{number}" for number in range(4) for domain in "abc"
     ]
     assert sorted(ranks.values()) == list(range(12))
+
+
+async def test_a_node_that_starts_again_takes_up_its_lease(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """A rolling restart creates a lease and writes two entries a node."""
+    await fleet(mesh, 6)
+    await mesh.settle(2.0)
+    place = mesh.places["n05"]
+    before = {
+        kind: mesh.store.made(kind, by="n05")
+        for kind in ("list", "grant", "put", "keep")
+    }
+    await mesh.restart(place)
+    await mesh.report(place)
+    await mesh.settle(1.0)
+    made = {
+        kind: mesh.store.made(kind, by="n05") - count
+        for kind, count in before.items()
+    }
+    assert made == {"list": 0, "grant": 0, "put": 1, "keep": 1}
+    assert place.node.guard.target_id == place.target.target_id
+
+
+async def test_a_stale_read_brings_back_no_target_that_leaves(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """The entry as a node reads it at its start is older than the leave."""
+    front = await mesh.add("a", service="other")
+    back = await mesh.add("b")
+    await mesh.settle()
+    mesh.store.older = dict(mesh.store.items)
+    await mesh.report(back, state="draining")
+    for place in (front, back):
+        mesh.kill(place)
+    for place in (front, back):
+        await mesh.restart(place)
+    await mesh.settle(0.6)
+    back.target.seen.clear()
+    await mesh.report(back, sequence=1)
+    assert (await mesh.ask(front, fake_mesh.request())).status == 503
+    assert not back.target.seen
+
+
+async def test_an_entry_that_has_lapsed_brings_back_no_target(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """A stale read shows an entry whose lease has ended meanwhile."""
+    place = await mesh.add("a")
+    await mesh.settle()
+    mesh.store.older = dict(mesh.store.items)
+    mesh.kill(place)
+    mesh.store.lapse()
+    await mesh.restart(place)
+    await mesh.settle(0.6)
+    assert not place.node.guard.target_id
+    assert (await mesh.report(place)) == 200
+    assert place.node.guard.target_id == place.target.target_id
