Renew the lease in time also while the entry is written

A write of the entry counted as a renewal of its lease, which it is not, and a step of the loop that wrote did not renew. A node whose target changes about once a second renewed nothing; after twelve seconds its entry lapsed, and with it what the store knew of the target.

Change: only a grant or a renewal counts, and a write does not skip it. test_a_write_does_not_put_off_the_renewal_of_the_lease failed before (no renewal in ten seconds of writes).

--- a/src/currantcart/proxy/registration.py
+++ b/src/currantcart/proxy/registration.py
@@ -193,6 +193,7 @@
         """Writes the own entry if it still is what this node knows of it."""
         if not self.lease:
             self.lease = await self.take_lease()
+            self.kept_at = self.context.now
         left = self.left
         # A report that comes during the write must have another follow.
         self.dirty = False
@@ -204,7 +205,6 @@
         except errors.CurrantcartError:
             self.dirty = True
             raise
-        self.kept_at = self.context.now
         self.revision = answer.revision
         if answer.outcome is leased.PutOutcome.WRITTEN:
             self.confirm(left)
@@ -279,7 +279,7 @@
         while True:
             if self.dirty or not self.lease:
                 await self.guarded(self.write())
-            elif self.context.now - self.kept_at >= KEEP_MS:
+            if self.lease and self.context.now - self.kept_at >= KEEP_MS:
                 await self.guarded(self.keep())
             if self.context.now - listed_at >= self.list_pace():
                 listed_at = self.context.now
--- a/tests/proxy/test_store_calls.py
+++ b/tests/proxy/test_store_calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from currantcart.platform import names
+from currantcart.proxy import registration
 from tests.fakes import mesh as fake_mesh
 
 FLEET = 16
@@ -147,3 +148,17 @@
     assert not place.node.guard.target_id
     assert (await mesh.report(place)) == 200
     assert place.node.guard.target_id == place.target.target_id
+
+
+async def test_a_write_does_not_put_off_the_renewal_of_the_lease(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """A target that changes often has its entry written again and again."""
+    place = await mesh.add("a")
+    await mesh.settle()
+    before = mesh.store.made("keep")
+    for _ in range(10):
+        place.node.registration.mark_dirty()
+        await mesh.settle(1.0)
+    slowest = registration.KEEP_MS + registration.RETRY_MS
+    assert mesh.store.made("keep") - before >= 10_000 // slowest
