Send a configuration into a failure domain twice, and to a starter once

Cause, by reading and then by tests: whoever read a new version sent it to each peer, and each peer sent it to a node that had started. With 195 nodes and a configuration of 1,400 routes (some 140 KB) that is 27 MB out of one machine for one change, which fills its link for a second, and as much into each node that starts; in a rolling restart or after a loss of power bytes between failure domains grow with the square of the nodes.

Change: the reader sends a version within its failure domain and to the first two nodes of each other domain, and a node that has it from another domain passes it on within its own. A node whose version is older than what a peer tells asks one peer for it (new frame `Fetch`), a near one first. Nodes of the release before are sent it as before, for they do not ask (a flag in `Hello`).

Ruled out: fetching alone, without sending (all nodes of a domain would ask the reader at the same moment); one entry node a domain (a lost one would cost a status interval, 1.5 s at 195 nodes).

--- a/src/currantcart/proxy/config_feed.py
+++ b/src/currantcart/proxy/config_feed.py
@@ -8,12 +8,11 @@
 from currantcart import errors
 from currantcart.catalog import model as catalog_model
 from currantcart.fleet import freshness
+from currantcart.proxy import config_exchange, frames, link, peers
 from currantcart.proxy import context as proxy_context
-from currantcart.proxy import frames, link, peers
 from currantcart.proxy import peer as peer_module
 from currantcart.store import leased
 
-PUSH_AGAIN_MS = 300.0
 UNREAD_MAX = 20
 WATCH_MS = 10_000.0
 WATCH_AGAIN_SECONDS = 1.0
@@ -25,7 +24,7 @@
     """Keeps one node's configuration.
 
     Attributes:
-      document: The configuration in force, as the store holds it.
+      exchange: The configuration in force, and its way to the peers.
       as_of: The store's revision as the configuration was read last.
       found_at: When the store first named the peers; None before.
     """
@@ -45,9 +44,8 @@
         self.parse = parse
         self.on_change = on_change
         self.peers: peers.Peers | None = None
-        self.document = b""
+        self.exchange = config_exchange.ConfigExchange(context)
         self.as_of = 0
-        self.taken_at = 0.0
         self.found_at: float | None = None
         self.last_poll = freshness.NEVER
         self.read_as_of = freshness.NEVER
@@ -135,12 +133,12 @@
         self.as_of = item.as_of
         self.read_as_of = asked_at
         if self.take(item.value, asked_at, "store"):
-            self.push()
+            self.exchange.spread(None)
 
     def take(self, document: bytes, as_of: float, source: str) -> bool:
         """Takes a document; returns whether it brought a newer version."""
         known = self.context.freshness
-        if document == self.document:
+        if document == self.exchange.document:
             known.confirm(known.version, as_of)
             return False
         try:
@@ -167,30 +165,12 @@
                 version=catalog.version,
                 fields=",".join(catalog.unread[:UNREAD_MAX]),
             )
-        self.document = document
-        self.taken_at = self.context.now
+        self.exchange.take(document)
         self.context.catalog = catalog
         known.take(catalog.version, as_of)
         self.on_change()
         return True
 
-    def push(self) -> None:
-        """Sends the configuration to the peers that have an older one."""
-        assert self.peers is not None
-        for peer in self.peers.by_instance.values():
-            for item in list(peer.links())[:1]:
-                self.push_to(peer, item)
-
-    def push_to(self, peer: peer_module.Peer, item: link.Link) -> None:
-        """Sends the configuration to one peer, once a version and stream."""
-        known = self.context.freshness
-        if peer.version >= known.version or item.peer is None:
-            return
-        if item.pushed_version >= known.version:
-            return
-        item.pushed_version = known.version
-        item.send(frames.Config(known.version, known.as_of, self.document))
-
     def status_heard(
         self, peer: peer_module.Peer, item: link.Link, status: frames.Status
     ) -> None:
@@ -200,9 +180,10 @@
             as_of = min(self.context.now, item.clock.to_own(status.as_of_ms))
             known.confirm(status.version, as_of)
             return
-        lags = self.document and status.version < known.version
-        if lags and self.context.now - self.taken_at > PUSH_AGAIN_MS:
-            self.push_to(peer, item)
+        if status.version < known.version:
+            self.exchange.older_heard(peer, item)
+        elif status.version > known.version:
+            self.exchange.newer_heard(item)
 
     def config_heard(self, item: link.Link, config: frames.Config) -> None:
         """Takes a configuration from a peer."""
@@ -210,4 +191,5 @@
         if item.ready:
             as_of = min(self.context.now, item.clock.to_own(config.as_of_ms))
         name = item.peer.instance if item.peer else ""
-        self.take(config.document, as_of, name)
+        if self.take(config.document, as_of, name):
+            self.exchange.spread(item)
--- a/src/currantcart/proxy/frames.py
+++ b/src/currantcart/proxy/frames.py
@@ -78,6 +78,8 @@
       now_ms: Sender's clock.
       unpacks: Whether the sender reads `Packed`.
       age_ms: Time since the sender's start; negative when it isn't told.
+      fetches: Whether the sender asks for a configuration that it lacks, and
+        answers `Fetch`.
     """
 
     protocol: int
@@ -85,6 +87,7 @@
     now_ms: float
     unpacks: bool = False
     age_ms: float = -1.0
+    fetches: bool = False
 
 
 class Status(msgspec.Struct, array_like=True, tag=2):
@@ -226,6 +229,10 @@
     """The sender's process ends: it admits no request any more."""
 
 
+class Fetch(msgspec.Struct, array_like=True, tag=13):
+    """Asks for the receiver's configuration."""
+
+
 Frame = (
     Hello
     | Status
@@ -239,6 +246,7 @@
     | Counts
     | Packed
     | Leave
+    | Fetch
 )
 
 ENCODER = msgspec.msgpack.Encoder()
--- a/src/currantcart/proxy/link.py
+++ b/src/currantcart/proxy/link.py
@@ -76,6 +76,9 @@
     def leave_heard(self, link: Link) -> None:
         """Takes that the peer's process ends."""
 
+    def fetch_heard(self, link: Link) -> None:
+        """Takes that the peer asks for the configuration."""
+
     def call_frame(self, link: Link, frame: frames.Frame) -> None:
         """Takes a frame of a call."""
 
@@ -118,6 +121,8 @@
       dialled: Whether this side opened it and may open calls.
       peer: The node on the other side; None before its first frame.
       peer_started_at: When its process began; far back when that isn't known.
+      fetches: Whether the peer asks for a configuration that it lacks.
+      sent_version: Newest configuration that was sent on it.
       ready: Whether both sides know each other's clocks.
       heard_at: When something arrived last.
       echoed_at: When the newest status was sent that the peer has echoed.
@@ -150,7 +155,8 @@
         self.asked_at = 0.0
         self.quiet = False
         self.published_counts: dict[str, int] = {}
-        self.pushed_version = 0
+        self.sent_version = 0
+        self.fetches = False
         self.transport: asyncio.Transport | None = None
         self.writer = frames.FrameWriter()
         self.reader = frames.FrameReader()
@@ -167,6 +173,7 @@
                 self.context.now,
                 unpacks=True,
                 age_ms=self.context.now - self.context.started_at,
+                fetches=True,
             )
         )
 
@@ -225,6 +232,8 @@
             self.owner.counts_heard(self, frame)
         elif isinstance(frame, frames.Leave):
             self.owner.leave_heard(self)
+        elif isinstance(frame, frames.Fetch):
+            self.owner.fetch_heard(self)
         else:
             self.owner.call_frame(self, frame)
 
@@ -238,6 +247,7 @@
         far = hello.member.failure_domain != self.owner.member.failure_domain
         if far and hello.unpacks:
             self.writer.compressor = compression.Compressor()
+        self.fetches = hello.fetches
         self.status_now, self.status_at = hello.now_ms, self.context.now
         if hello.age_ms >= 0.0:
             self.peer_started_at = self.context.now - hello.age_ms
--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -131,6 +131,7 @@
             status=self.statuses.status_for,
             on_status=self.statuses.status_heard,
             on_config=self.feed.config_heard,
+            on_fetch=self.feed.exchange.fetch_heard,
             on_call_frame=self.call_frame,
             on_lost=self.link_lost,
             on_gone=lambda peer: self.quotas.forget(peer.member.process),
@@ -141,6 +142,7 @@
         self.statuses.peers = self.peers
         self.guard.called_pressure = self.outbound.edge.called_pressure
         self.feed.peers = self.peers
+        self.feed.exchange.peers = self.peers
         self.registration = registration.Registration(
             context,
             store=store,
--- a/src/currantcart/proxy/peers.py
+++ b/src/currantcart/proxy/peers.py
@@ -38,6 +38,7 @@
         status: Callable[[link.Link], frames.Status],
         on_status: Callable[[peer_module.Peer, link.Link, frames.Status], None],
         on_config: Callable[[link.Link, frames.Config], None],
+        on_fetch: Callable[[link.Link], None],
         on_call_frame: Callable[[link.Link, frames.Frame], None],
         on_lost: Callable[[link.Link], None],
         on_gone: Callable[[peer_module.Peer], None],
@@ -49,6 +50,7 @@
         self.status = status
         self.on_status = on_status
         self.on_config = on_config
+        self.on_fetch = on_fetch
         self.on_call_frame = on_call_frame
         self.on_lost = on_lost
         self.on_gone = on_gone
@@ -313,6 +315,10 @@
         """Takes a configuration."""
         self.on_config(item, config)
 
+    def fetch_heard(self, item: link.Link) -> None:
+        """Takes that a peer asks for the configuration."""
+        self.on_fetch(item)
+
     def counts_heard(self, item: link.Link, counts: frames.Counts) -> None:
         """Takes what a peer has admitted."""
         peer = self.peer_of(item)
