Notice at once who is behind a cut while a workspace presses

What could happen (QUOTA): until a node misses the nodes behind a cut it uses a workspace's whole rate, and so do they. A peer was missed after two intervals of statuses, and those grow with the fleet: 0.95 s at 12 nodes, 3.0 s at 195.

Ruled out: faster statuses (bytes grow with the square of the nodes), less patience alone (statuses come up to an interval apart).

Change: while a workspace is near its limit, a node asks a failure domain of which nobody was heard for 150 ms, and a single peer that was not heard for 0.6 of an interval; who has not answered three ticks later counts as silent. A node that was held up itself reads in between. Without such a workspace nothing is asked, and the suspect limit holds as before. It stands in a module of its own, taken out of peers.

Tests: test_lone_nodes_behind_a_cut… at 16, 91 and 195 nodes, with the times that the code gives; test_silence.py over real nodes, on a fake network that can hold standing connections silent (it could only refuse new ones; the test of a domain whose entry nodes are silent uses it too).

--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -25,6 +25,7 @@
     publisher,
     registration,
     shutdown,
+    silence,
     state_log,
     statuses,
     target_reports,
@@ -138,6 +139,11 @@
             on_counts=self.statuses.counts_heard,
             expedited=self.quotas.expedited,
         )
+        self.silence = silence.Silence(
+            context,
+            peers=self.peers.by_instance.values,
+            status=self.statuses.status_for,
+        )
         self.outbound.peers = self.peers
         self.statuses.peers = self.peers
         self.guard.called_pressure = self.outbound.edge.called_pressure
@@ -231,7 +237,7 @@
             "config_version": lambda: known.version,
             "config_age_seconds": lambda: known.age(self.context.now) / 1e3,
             "peers": lambda: len(self.peers.by_instance),
-            "peers_silent_ratio": self.peers.silent_share,
+            "peers_silent_ratio": self.silence.share,
             "calls": lambda: len(self.outbound.calls),
             "caller_connections": lambda: len(self.callers.connections),
             "running": lambda: queue.running,
@@ -313,7 +319,8 @@
         self.feed.tick()
         self.outbound.repeats.note_fleet()
         now = self.context.now
-        self.quotas.set_silent(self.peers.silent_share(), now)
+        self.silence.tick(asking=bool(self.quotas.expedited()))
+        self.quotas.set_silent(self.silence.share(), now)
         peer_count = len(self.peers.by_instance)
         self.quotas.set_fleet(
             nodes=peer_count + 1,
--- a/src/currantcart/proxy/peer.py
+++ b/src/currantcart/proxy/peer.py
@@ -22,6 +22,7 @@
       outgoing: Stream on which this node opens calls to it.
       incoming: Stream on which it opens calls to this node.
       heard_at: When it was heard last, or first named.
+      has_told: Whether it has told its status.
       version: Configuration version that it serves.
       started_at: When its process began; far back when that isn't known.
       ended: Whether it said that its process ends.
@@ -34,6 +35,7 @@
     dialling: asyncio.Task[None] | None = None
     dial_after: float = 0.0
     heard_at: float = 0.0
+    has_told: bool = False
     version: int = 0
     started_at: float = float("-inf")
     ended: bool = False
@@ -54,6 +56,7 @@
         self.target = picker.Target(
             member.instance, member.service, member.failure_domain
         )
+        self.has_told = False
         self.version = 0
         self.started_at = float("-inf")
         self.ended = False
--- a/src/currantcart/proxy/peers.py
+++ b/src/currantcart/proxy/peers.py
@@ -178,25 +178,6 @@
         silence = self.context.now - peer.heard_at
         return silence < link.silent_ms(self.context.pace_ms)
 
-    def silent_share(self) -> float:
-        """Returns the part of the fleet that is not heard, 0 to 1.
-
-        A peer that announced its end is gone and not silent; its part of
-        every workspace's rate is free at once.
-        """
-        living = [peer for peer in self.by_instance.values() if not peer.ended]
-        silent = sum(self.is_silent(peer) for peer in living)
-        return silent / (len(living) + 1)
-
-    def is_silent(self, peer: peer_module.Peer) -> bool:
-        """Tells whether a peer may be behind a cut.
-
-        Until that is noticed both sides of a cut use a workspace's whole
-        rate, so it is noticed sooner than a stream is given up.
-        """
-        silence = self.context.now - peer.heard_at
-        return silence > link.suspect_ms(self.context.pace_ms)
-
     def rank(self) -> int:
         """Returns this node's place among the live nodes.
 
@@ -303,6 +284,7 @@
         if peer is None:
             return
         peer.heard_at = self.context.now
+        peer.has_told = True
         peer.version = status.version
         self.take_target(peer.target, status.target)
         self.on_status(peer, item, status)
--- a/tests/fakes/loop.py
+++ b/tests/fakes/loop.py
@@ -11,11 +11,12 @@
 import collections
 import contextvars
 import selectors
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 HIGH_WATER = 64 * 1024
 LATENCY_SECONDS = 0.0005
+HELD_SECONDS = 0.01
 SECONDS_MAX = 900.0
 OWNER: contextvars.ContextVar[str] = contextvars.ContextVar(
     "owner", default="test"
@@ -95,6 +96,11 @@
     pending = 0
 
     def deliver(self) -> None:
+        if self.peer and self.loop.is_silent(self.owner, self.peer.owner):
+            self.loop.call_later(
+                HELD_SECONDS, self.deliver, context=self.context
+            )
+            return
         self.inbox.append(self.on_way.popleft())
         self.flush()
 
@@ -220,10 +226,25 @@
         self.sockets: dict[tuple[str, int], MemoryDatagrams] = {}
         self.transports: list[MemoryTransport] = []
         self.cuts: set[frozenset[str]] = set()
+        self.silences: set[frozenset[str]] = set()
 
     def time(self) -> float:
         return self.jumping.now
 
+    def cut_off(self, *names: str, others: Iterable[str]) -> None:
+        """Cuts owners off from others; standing connections go silent."""
+        between = {
+            frozenset((name, other))
+            for name in names
+            for other in others
+            if other not in names
+        }
+        self.cuts |= between
+        self.silences |= between
+
+    def is_silent(self, one: str, other: str) -> bool:
+        return frozenset((one, other)) in self.silences
+
     def is_cut(self, one: str, other: str) -> bool:
         return frozenset((one, other)) in self.cuts
 
--- a/tests/proxy/test_config_exchange.py
+++ b/tests/proxy/test_config_exchange.py
@@ -83,12 +83,7 @@
     """Those by which a version would enter have just gone silent."""
     places = await domains(mesh, 5)
     lost = ("b0", "b1")
-    mesh.loop.cuts |= {
-        frozenset((name, place.name))
-        for name in lost
-        for place in places
-        if place.name != name
-    }
+    mesh.loop.cut_off(*lost, others=mesh.places)
     mesh.store.operate(names.CONFIG_KEY, fake_mesh.document(5))
     await mesh.settle(1.0)
     for place in places:
--- a/tests/workspace/test_quota.py
+++ b/tests/workspace/test_quota.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from currantcart.proxy import link, publisher
+from currantcart.proxy import link, publisher, silence
 from currantcart.proxy import node as node_module
 from currantcart.workspace import quota
 
@@ -28,6 +28,9 @@
         self.admitted: list[float] = []
         self.told: dict[int, dict[str, int]] = {}
         self.cut: set[int] = set()
+        self.lone: set[int] = set()
+        self.is_cut = False
+        self.noticed_ms = (NOTICED_MS, NOTICED_MS)
         self.started_at = 0.0
 
     def ask(self, number: int, now: float) -> bool:
@@ -61,8 +64,7 @@
                 continue
             self.told[number] = counts
             for other, peer in enumerate(self.nodes):
-                reached = (number in self.cut) == (other in self.cut)
-                if reached and number != other:
+                if number != other and self.reaches(number, other):
                     peer.hear(
                         f"{number}-{self.started_at}",
                         counts,
@@ -70,13 +72,23 @@
                         started_at=self.started_at,
                     )
 
-    def note_silence(self, now: float) -> None:
+    def reaches(self, number: int, other: int) -> bool:
+        """Tells whether two nodes are on the same side of the cut."""
+        if not self.is_cut:
+            return True
+        if number in self.lone or other in self.lone:
+            return number == other
+        return (number in self.cut) == (other in self.cut)
+
+    def note_silence(self, now: float, *, lone: bool) -> None:
+        """Has the lone nodes, or all others, notice whom they don't hear."""
         for number, node in enumerate(self.nodes):
-            silent = sum(
-                (other in self.cut) != (number in self.cut)
-                for other in range(len(self.nodes))
-            )
-            node.set_silent(silent / len(self.nodes), now)
+            if (number in self.lone) == lone:
+                silent = sum(
+                    not self.reaches(number, other)
+                    for other in range(len(self.nodes))
+                )
+                node.set_silent(silent / len(self.nodes), now)
 
     def served(self, from_ms: float) -> int:
         return sum(at >= from_ms for at in self.admitted)
@@ -107,15 +119,19 @@
     for step in range(10_000):
         now = float(step)
         if now == cut_at:
-            fleet.cut = {0, 1, 2, 3}
+            fleet.is_cut = True
+            fleet.cut = set() if fleet.lone else {0, 1, 2, 3}
         if now == restart_at:
             fleet.restart(now)
         if now == restart_at + node_module.TICK_MS:
             fleet.know_fleet(reported_ms)
         if step % reported_ms == 0:
             fleet.tell(now)
-        if now == cut_at + NOTICED_MS:
-            fleet.note_silence(now)
+        for lone, noticed_ms in zip(
+            (True, False), fleet.noticed_ms, strict=True
+        ):
+            if now == cut_at + round(noticed_ms):
+                fleet.note_silence(now, lone=lone)
         pressing = per_second if step >= from_ms else 0.0
         due = int(pressing / 1_000) + (rng.random() < pressing / 1_000 % 1)
         for _ in range(due):
@@ -217,6 +233,30 @@
     assert fleet.most_in_a_window() <= ALLOWED
 
 
+@pytest.mark.parametrize("nodes", [16, 91, 195])
+@pytest.mark.parametrize("per_second", [600, 2_000])
+def test_lone_nodes_behind_a_cut_keep_to_the_rate_with_the_others(
+    nodes: int, per_second: int
+) -> None:
+    """Guards against a rate that each node uses until it misses the others."""
+    fleet = Fleet(nodes)
+    fleet.lone = set(range(round(0.3 * nodes)))
+    pace = publisher.status_pace_ms(nodes - 1)
+    answered_ms = (silence.ANSWER_TICKS + 2) * node_module.TICK_MS
+    fleet.noticed_ms = (
+        silence.UNHEARD_MS + answered_ms,
+        silence.unheard_ms(pace) + answered_ms,
+    )
+    counts_ms = publisher.counts_pace_ms(nodes - 1)
+    play(
+        fleet,
+        per_second=per_second,
+        cut_at=3_000,
+        reported_ms=round(node_module.heard_after_ms(counts_ms)),
+    )
+    assert fleet.most_in_a_window() <= ALLOWED
+
+
 def test_what_a_peer_admitted_before_it_was_heard_of_is_past() -> None:
     node = quota.Quotas()
     node.configure({"mill": (RATE, BURST)}, 0.0)
