Tell statuses in whole milliseconds and coarse levels

By arithmetic most of them are statuses: 195 nodes send some 260 a second each, four in five of them to another domain. Four clock readings, the work and each level went as floats whose low bits are noise, and noise does not compress.

Change: times are rounded down to whole milliseconds, work and cold time up, levels down to 1/256, so that a level that is passed on in a circle still dies out. A reading may now be off by a millisecond; the clock between two nodes counts that as time on the way, so a moment of a peer's clock still never reads later than it was (checked over drawn exchanges).

Ruled out: slower statuses, by which room, silence and freshness would be known later; they remain the next step (docs/CAPACITY.md).

--- a/src/currantcart/admission/pressure.py
+++ b/src/currantcart/admission/pressure.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import random
 from collections.abc import Iterable
 
@@ -33,6 +34,8 @@
 TOLD_CHANGE = 0.04
 MOST = 0.9
 LEAST = 0.01
+STEPS = 256
+"""Steps of a level as it is told; a fraction of few bits compresses well."""
 WAIT_OF_OBJECTIVE = 0.15
 HISTOGRAM_HALF_LIFE_MS = 2_000.0
 SHED_SHARE_MAX = 0.85
@@ -125,6 +128,15 @@
     }
 
 
+def coarse(levels: Pressure) -> Pressure:
+    """Returns levels as they are told: rounded down, so that echoes die out."""
+    told = {
+        name: math.floor(level * STEPS) / STEPS
+        for name, level in levels.items()
+    }
+    return {name: level for name, level in told.items() if level >= LEAST}
+
+
 def strongest(parts: Iterable[Pressure]) -> Pressure:
     """Returns the highest level of each service."""
     merged: Pressure = {}
--- a/src/currantcart/proxy/guard.py
+++ b/src/currantcart/proxy/guard.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 
 from currantcart.admission import pressure, slots
@@ -82,11 +83,11 @@
             ready=self.ready and not self.context.leaving,
             limit=self.queue.slots,
             busy=self.busy,
-            cold_ms=max(0.0, self.cold_until - self.context.now),
-            pressure=self.pressure(),
+            cold_ms=math.ceil(max(0.0, self.cold_until - self.context.now)),
+            pressure=pressure.coarse(self.pressure()),
             leaving=bool(self.target_id) and not self.ready,
             born=self.born,
-            work_ms=round(self.exchange.speed.reported_ms, 1),
+            work_ms=math.ceil(self.exchange.speed.reported_ms),
         )
 
     def pressure(self) -> pressure.Pressure:
--- a/src/currantcart/proxy/link.py
+++ b/src/currantcart/proxy/link.py
@@ -37,6 +37,8 @@
 the others fill up: in a burst, most requests would go to the one that is cut
 off, until its stream is suspect.
 """
+RESOLUTION_MS = 1.0
+"""Statuses tell whole milliseconds; what that hides counts as transit."""
 REASONS = frozenset(
     {"silent", "closed", "replaced", "started_anew", "stopping"}
 )
@@ -104,7 +106,7 @@
         The whole round trip is taken off, so that a frame that was held up
         on its way can only look older than it is, never fresh.
         """
-        round_trip = max(0.0, now - echo - held)
+        round_trip = max(0.0, now - echo - held) + RESOLUTION_MS
         if round_trip <= self.round_trip_ms:
             self.round_trip_ms = round_trip
             self.offset_ms = now - peer_now - round_trip
--- a/src/currantcart/proxy/statuses.py
+++ b/src/currantcart/proxy/statuses.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
 from currantcart.fleet import target_record
@@ -12,6 +13,13 @@
 from currantcart.workspace import quota
 
 
+def whole(milliseconds: float) -> float:
+    """Returns a time without its fraction, which compresses badly."""
+    if math.isinf(milliseconds):
+        return milliseconds
+    return math.floor(milliseconds)
+
+
 class Statuses:
     """Builds and applies the statuses of one node."""
 
@@ -52,11 +60,11 @@
         now = self.context.now
         known = self.context.freshness
         return frames.Status(
-            now_ms=now,
+            now_ms=whole(now),
             echo_ms=item.status_now,
-            held_ms=now - item.status_at,
+            held_ms=whole(now - item.status_at),
             version=known.version,
-            as_of_ms=known.as_of,
+            as_of_ms=whole(known.as_of),
             target=self.guard.state(),
             counts=item.unpublished(self.quotas.counts()),
             left=self.peers.left.get(item.peer.instance) if item.peer else None,
--- a/tests/proxy/test_frames.py
+++ b/tests/proxy/test_frames.py
@@ -7,7 +7,11 @@
 import pytest
 
 from currantcart import errors
-from currantcart.proxy import compression, frames
+from currantcart.admission import pressure
+from currantcart.proxy import compression, frames, link, statuses
+
+FAR_STATUS_BYTES = 10_240 / 195
+"""What a status to each of 195 nodes may take, at one a second and 10 KB."""
 
 
 def opening(number: int, *, body: bytes = b"") -> frames.Open:
@@ -109,3 +113,58 @@
     hello = frames.DECODER.decode(before)
     assert isinstance(hello, frames.Hello)
     assert not hello.unpacks
+
+
+@pytest.mark.parametrize("one_way", [0.0, 0.3, 0.99, 1.4])
+def test_a_moment_of_a_peers_clock_never_reads_later_than_it_was(
+    one_way: float,
+) -> None:
+    """A frame that was held up looks fresh if the peer's clock is misread."""
+    rng = random.Random(3)
+    for _ in range(2_000):
+        clock = link.PeerClock()
+        ahead = rng.uniform(-1e6, 1e6)
+        asked = rng.uniform(1e6, 2e6)
+        taken = asked + one_way
+        answered = taken + rng.uniform(0.0, 5.0)
+        now = answered + one_way
+        clock.sample(
+            now=now,
+            peer_now=statuses.whole(answered + ahead),
+            echo=statuses.whole(asked),
+            held=statuses.whole(answered - taken),
+        )
+        assert clock.to_own(answered + ahead) <= answered + 1e-6
+        assert clock.to_own(answered + ahead) > answered - 2 * one_way - 4
+
+
+def test_what_a_status_tells_has_no_fractions_that_do_not_compress() -> None:
+    """Four clocks to a tenth of a microsecond are most of a status's bytes."""
+    packer, rng = writer(packed=True), random.Random(1)
+    spent, now = 0, 1e6
+    for _ in range(100):
+        now += rng.uniform(1_400.0, 1_500.0)
+        level = rng.random()
+        packer.add(
+            frames.Status(
+                now_ms=statuses.whole(now),
+                echo_ms=statuses.whole(now / 3),
+                held_ms=statuses.whole(rng.uniform(0.0, 1_400.0)),
+                version=37,
+                as_of_ms=statuses.whole(now - rng.uniform(0.0, 700.0)),
+                target=frames.TargetState(
+                    "i-1", True, 12, 3, pressure=pressure.coarse({"s": level})
+                ),
+                counts={},
+            )
+        )
+        spent += len(packer.take_packed())
+    assert spent / 100 <= FAR_STATUS_BYTES
+
+
+def test_a_level_that_is_passed_on_dies_out() -> None:
+    """Rounded up, an echo between two services would never end."""
+    level = 1.0
+    for _ in range(60):
+        level = pressure.coarse({"s": 0.9 * level}).get("s", 0.0)
+    assert level == 0.0
