Call a store that is away about once a second

Change: a step ends at the first call that fails, and after two failures the next one comes 0.9 to 1.7 s later, drawn, so that a store that returns isn't called by all at once; entries that lapsed are back within two seconds as before. Renewals go first, being the cheapest. A node that knows nobody reads stale lists and a fresh one now and then, not a fresh one at once: nodes that all start together find nobody in either.

--- a/src/currantcart/proxy/registration.py
+++ b/src/currantcart/proxy/registration.py
@@ -30,6 +30,11 @@
 for those that could not be dialled then.
 """
 LIST_MS_ALONE = 300.0
+FRESH_EACH = 4
+"""A node that knows nobody reads the newest entries once in so many times."""
+FAILURES_FEW = 2
+AWAY_MS = (900.0, 1_700.0)
+"""Bounds of the drawn time between two calls after more than a few failures."""
 WRITES_MAX = 3
 """Writes in a row, where the entry turns out to be another than expected."""
 
@@ -75,6 +80,7 @@
       confirmed: Set once it is known what the process before left.
       reached: Whether the last call to the store was carried out.
       reached_at: Since when, or since the start.
+      failures: Steps in a row that the store has not carried out.
     """
 
     def __init__(
@@ -104,6 +110,9 @@
         self.listed = asyncio.Event()
         self.confirmed = asyncio.Event()
         self.kept_at = 0.0
+        self.read_at = 0.0
+        self.reads_alone = 0
+        self.failures = 0
         self.writing = asyncio.Lock()
         self.reached = True
         self.reached_at = context.now
@@ -123,20 +132,28 @@
         self.dirty = True
 
     async def start(self) -> None:
-        """Reads the entries, and what the process before left in its own."""
-        while True:
-            if await self.guarded(self.read_first()):
-                break
+        """Reads the entries, and what the process before left in its own.
+
+        Nodes that all start at once find nobody at first.
+        """
+        while not self.listed.is_set():
+            if await self.guarded(self.read(stale=True)):
+                self.listed.set()
+            else:
+                await self.pause(LIST_MS_ALONE)
+        if not self.peer_count():
             await asyncio.sleep(LIST_MS_ALONE / 1_000)
-        self.listed.set()
+            await self.guarded(self.read(stale=True))
 
-    async def read_first(self) -> None:
-        """Reads all entries, the newest ones if older ones name nobody."""
-        if not await self.read(stale=True):
-            await self.read(stale=False)
+    async def pause(self, milliseconds: float) -> None:
+        """Waits between two calls, longer while the store is away."""
+        if self.failures > FAILURES_FEW:
+            milliseconds = self.context.rng.uniform(*AWAY_MS)
+        await asyncio.sleep(milliseconds / 1_000)
 
-    async def read(self, *, stale: bool) -> int:
-        """Reads all entries; returns how many others it has found."""
+    async def read(self, *, stale: bool) -> None:
+        """Reads all entries."""
+        self.read_at = self.context.now
         members: list[frames.Member] = []
         for item in await self.store.list(self.prefix, stale=stale):
             entry = self.decode(item)
@@ -145,7 +162,6 @@
             elif entry is not None:
                 members.append(entry.member)
         self.on_members(members, self.is_settled)
-        return len(members)
 
     def note_left(self, item: leased.Item, entry: Entry | None) -> None:
         """Notes what the own entry holds until this process has written it."""
@@ -174,11 +190,13 @@
                     "store_lost", code=error.code, detail=error.detail
                 )
             self.reached = False
+            self.failures += 1
             return False
         if not self.reached:
             self.context.log.event("store_regained")
             self.reached_at = self.context.now
         self.reached = True
+        self.failures = 0
         return True
 
     async def write(self) -> None:
@@ -275,17 +293,20 @@
     async def run(self) -> None:
         """Keeps the entry and reads the others', for the node's life."""
         await self.listed.wait()
-        listed_at = self.context.now
         while True:
-            if self.dirty or not self.lease:
-                await self.guarded(self.write())
-            if self.lease and self.context.now - self.kept_at >= KEEP_MS:
-                await self.guarded(self.keep())
-            if self.context.now - listed_at >= self.list_pace():
-                listed_at = self.context.now
-                await self.guarded(self.read(stale=True))
-            wait = LIST_MS_ALONE if self.dirty else RETRY_MS
-            await asyncio.sleep(wait / 1_000)
+            await self.guarded(self.do_due())
+            await self.pause(LIST_MS_ALONE if self.dirty else RETRY_MS)
+
+    async def do_due(self) -> None:
+        """Renews, writes and reads what is due, up to a call that fails."""
+        if self.lease and self.context.now - self.kept_at >= KEEP_MS:
+            await self.keep()
+        if self.dirty or not self.lease:
+            await self.write()
+        if self.context.now - self.read_at >= self.list_pace():
+            self.reads_alone += 1
+            fresh = not self.peer_count() and self.reads_alone % FRESH_EACH == 0
+            await self.read(stale=not fresh)
 
     def list_pace(self) -> float:
         """Returns the time between two reads of all entries."""
--- a/tests/proxy/test_store_calls.py
+++ b/tests/proxy/test_store_calls.py
@@ -182,3 +182,21 @@
         peers = place.node.peers.by_instance.values()
         assert len(peers) == FLEET - 1
         assert all(peer.outgoing and peer.incoming for peer in peers)
+
+
+async def test_a_store_that_is_away_is_called_about_once_a_second_a_node(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """Each step of a node makes every call that is due and fails at each."""
+    await fleet(mesh)
+    await mesh.settle(4.0)
+    kinds = ("keep", "put", "grant", "list", "list_stale")
+    mesh.store.refusing = True
+    mesh.store.lapse()
+    before = mesh.store.made(*kinds)
+    await mesh.settle(12.0)
+    assert mesh.store.made(*kinds) - before <= FLEET * 12
+    mesh.store.refusing = False
+    await mesh.settle(2.0)
+    named = [key for key in mesh.store.items if "/nodes/" in key]
+    assert len(named) == FLEET
