Cut a stream that owes an answer, however slow the pace

At 195 nodes a silent stream was cut after 5.2 s (3.5 intervals of 1.49 s), so calls at a node that had lost power hung past their deadlines of 5 s; at twelve nodes they are given up, or handed on, after 1.6 s. Found by working the pace out at the size of the large site.

Change: a peer that was asked for a sign of life and owes it for 1.6 s, or for 1.5 intervals (2.2 s at 195 nodes), loses its stream. It is asked as soon as a stream with calls on it has brought nothing for 0.12 s, so calls are given up after 2.4 s there and not after 5.2. Small fleets: as before. Ruled out: a quicker pace for all, which costs bytes with the square of the nodes.

test_a_stream_that_owes_an_answer_is_cut_in_a_large_fleet_too failed before.

--- a/src/currantcart/proxy/link.py
+++ b/src/currantcart/proxy/link.py
@@ -27,6 +27,8 @@
 SILENT_MS = 1_600.0
 SILENT_PACES = 3.5
 """Silence after which a stream is cut."""
+OWED_PACES = 1.5
+"""The same after the peer was asked for a sign of life."""
 QUIET_MS = 120.0
 """Silence after which a stream with calls on it is asked for a sign of life."""
 OVERDUE_MS = 200.0
@@ -55,6 +57,11 @@
     return max(SILENT_MS, SILENT_PACES * pace_ms)
 
 
+def owed_ms(pace_ms: float) -> float:
+    """Returns the time after which a stream that owes an answer is cut."""
+    return max(SILENT_MS, OWED_PACES * pace_ms)
+
+
 class LinkOwner(Protocol):
     """What a link tells the node that holds it."""
 
@@ -319,9 +326,10 @@
 
     def check(self, now: float) -> None:
         """Cuts the stream if it has gone silent."""
-        if self.transport is not None and now - self.heard_at > silent_ms(
-            self.context.pace_ms
-        ):
+        pace = self.context.pace_ms
+        silent = now - self.heard_at > silent_ms(pace)
+        owed = bool(self.asked_at) and now - self.asked_at > owed_ms(pace)
+        if self.transport is not None and (silent or owed):
             self.cut("silent")
 
     def cut(self, reason: str) -> None:
--- /dev/null
+++ b/tests/proxy/test_link.py
@@ -0,0 +1,49 @@
+"""When a stream between two nodes counts as lost."""
+
+from __future__ import annotations
+
+import pytest
+
+from currantcart.proxy import link, publisher
+from tests.fakes import mesh as fake_mesh
+
+PACE_MS = publisher.status_pace_ms(194)
+
+
+async def stream(mesh: fake_mesh.Mesh) -> link.Link:
+    """Returns a stream of a node that has as many peers as a large fleet."""
+    place = await mesh.add("a")
+    await mesh.add("b")
+    await mesh.settle()
+    item = place.node.peers.by_instance["b"].outgoing
+    assert item is not None
+    item.context.pace_ms = PACE_MS
+    return item
+
+
+async def test_a_stream_that_owes_an_answer_is_cut_in_a_large_fleet_too(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """Calls at a node that is gone hang until three more statuses are due."""
+    item = await stream(mesh)
+    now = item.context.now
+    item.heard_at = item.asked_at = now - 2_300.0
+    item.check(now)
+    assert item.transport is None
+
+
+@pytest.mark.parametrize(("heard_ago", "asked"), [(2_300.0, 0.0), (50.0, 0.0)])
+async def test_a_stream_that_owes_nothing_waits_for_the_pace(
+    mesh: fake_mesh.Mesh, heard_ago: float, asked: float
+) -> None:
+    item = await stream(mesh)
+    item.heard_at = item.context.now - heard_ago
+    item.asked_at = asked
+    item.check(item.context.now)
+    assert item.transport is not None
+
+
+@pytest.mark.parametrize("nodes", [12, 91, 195, 980])
+def test_an_answer_is_owed_for_longer_than_a_status_takes(nodes: int) -> None:
+    pace = publisher.status_pace_ms(nodes - 1)
+    assert pace < link.owed_ms(pace) <= link.silent_ms(pace)
