--- a/tests/proxy/test_frames.py
+++ b/tests/proxy/test_frames.py
@@ -4,6 +4,7 @@
 
 import random
 
+import msgspec
 import pytest
 
 from currantcart import errors
@@ -168,3 +169,22 @@
     for _ in range(60):
         level = pressure.coarse({"s": 0.9 * level}).get("s", 0.0)
     assert level == 0.0
+
+
+class HelloBefore(msgspec.Struct, array_like=True, tag=1):
+    """The introduction as the release before knows it."""
+
+    protocol: int
+    member: frames.Member
+    now_ms: float
+    unpacks: bool = False
+    age_ms: float = -1.0
+
+
+def test_the_release_before_reads_an_introduction_with_more_in_it() -> None:
+    """A rolling upgrade would end at the first stream between two releases."""
+    member = frames.Member("a", "p", "10.0.0.1:1", "grades", "far")
+    sent = frames.Hello(1, member, 5.0, unpacks=True, age_ms=7.0, fetches=True)
+    data = frames.encoded(sent)[frames.LENGTH.size :]
+    read = msgspec.msgpack.decode(data, type=HelloBefore)
+    assert (read.member, read.unpacks, read.age_ms) == (member, True, 7.0)
