Split the node's 39 modules by the way of a call

Tests mirror it.

Moves and imports alone: without import lines the syntax trees of all 169 modules of the package are those of before. Ruled out for now: moving statuses into streams (it builds on the guard) and node.py's parts into a package.

--- /dev/null
+++ b/src/currantcart/proxy/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Connections of callers: requests read, answers written in order."""
--- a/src/currantcart/proxy/caller.py
+++ b/src/currantcart/proxy/callers/caller.py
@@ -8,10 +8,11 @@
 
 from currantcart.catalog import model as catalog_model
 from currantcart.http1 import transport as stream
-from currantcart.proxy import call as call_module
 from currantcart.proxy import context as proxy_context
-from currantcart.proxy import exchange as exchange_module
-from currantcart.proxy import intake, request_reader
+from currantcart.proxy.callers import exchange as exchange_module
+from currantcart.proxy.callers import request_reader
+from currantcart.proxy.requests import call as call_module
+from currantcart.proxy.requests import intake
 
 PIPELINED_MAX = 16
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
--- a/src/currantcart/proxy/exchange.py
+++ b/src/currantcart/proxy/callers/exchange.py
@@ -5,8 +5,8 @@
 from typing import Protocol
 
 from currantcart.http1 import status
-from currantcart.proxy import call as call_module
-from currantcart.proxy import intake
+from currantcart.proxy.requests import call as call_module
+from currantcart.proxy.requests import intake
 
 
 class AnswerWriter(Protocol):
--- a/src/currantcart/proxy/frontend.py
+++ b/src/currantcart/proxy/callers/frontend.py
@@ -7,10 +7,11 @@
 from currantcart.admission import connections as connection_bounds
 from currantcart.catalog import model as catalog_model
 from currantcart.http1 import status
-from currantcart.proxy import call as call_module
-from currantcart.proxy import caller, intake, outbound
 from currantcart.proxy import context as proxy_context
-from currantcart.proxy import exchange as exchange_module
+from currantcart.proxy.callers import caller
+from currantcart.proxy.callers import exchange as exchange_module
+from currantcart.proxy.requests import call as call_module
+from currantcart.proxy.requests import intake, outbound
 
 
 class CallerServer:
--- a/src/currantcart/proxy/request_reader.py
+++ b/src/currantcart/proxy/callers/request_reader.py
@@ -8,8 +8,8 @@
 
 from currantcart.catalog import model as catalog_model
 from currantcart.proxy import context as proxy_context
-from currantcart.proxy import exchange as exchange_module
-from currantcart.proxy import intake
+from currantcart.proxy.callers import exchange as exchange_module
+from currantcart.proxy.requests import intake
 
 MEMORY_RETRY_MS = 500.0
 
--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -11,27 +11,21 @@
 from currantcart import background
 from currantcart.admission import connections
 from currantcart.fleet import target_record
-from currantcart.proxy import (
+from currantcart.proxy import context as proxy_context
+from currantcart.proxy import control, shutdown, state_log, statuses
+from currantcart.proxy import settings as proxy_settings
+from currantcart.proxy.callers import frontend
+from currantcart.proxy.requests import intake, outbound
+from currantcart.proxy.streams import (
     config_feed,
-    control,
     frames,
-    frontend,
-    guard,
-    inbound,
-    intake,
     link,
-    outbound,
     peers,
     publisher,
     registration,
-    shutdown,
     silence,
-    state_log,
-    statuses,
-    target_reports,
 )
-from currantcart.proxy import context as proxy_context
-from currantcart.proxy import settings as proxy_settings
+from currantcart.proxy.targets import guard, inbound, target_reports
 from currantcart.store import counted, leased
 from currantcart.workspace import quota
 
--- /dev/null
+++ b/src/currantcart/proxy/requests/__init__.py
@@ -0,0 +1,1 @@
+"""A request on its way: checked, routed, tried, told how it ended."""
--- a/src/currantcart/proxy/attempts.py
+++ b/src/currantcart/proxy/requests/attempts.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from currantcart.call import attempt
-from currantcart.proxy import call as call_module
 from currantcart.proxy import context as proxy_context
-from currantcart.proxy import frames, guard, link, local_reply
+from currantcart.proxy.requests import call as call_module
+from currantcart.proxy.requests import local_reply
+from currantcart.proxy.streams import frames, link
+from currantcart.proxy.targets import guard
 from currantcart.routing import picker
 
 RETURN_MARGIN_MS = 25.0
--- a/src/currantcart/proxy/call.py
+++ b/src/currantcart/proxy/requests/call.py
@@ -8,8 +8,9 @@
 
 from currantcart.admission import pressure
 from currantcart.call import attempt, lineage
-from currantcart.proxy import frames, intake, link
-from currantcart.proxy import job as job_module
+from currantcart.proxy.requests import intake
+from currantcart.proxy.streams import frames, link
+from currantcart.proxy.targets import job as job_module
 from currantcart.routing import picker
 
 
--- a/src/currantcart/proxy/edge.py
+++ b/src/currantcart/proxy/requests/edge.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable
 
 from currantcart.admission import pressure
-from currantcart.proxy import call as call_module
 from currantcart.proxy import context as proxy_context
+from currantcart.proxy.requests import call as call_module
 
 CALLED_MS = 3_000.0
 """Time for which a service counts as called by the own target."""
--- a/src/currantcart/proxy/endings.py
+++ b/src/currantcart/proxy/requests/endings.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from currantcart.proxy import call as call_module
 from currantcart.proxy import context as proxy_context
+from currantcart.proxy.requests import call as call_module
 from currantcart.routing import picker
 
 SAMPLED = 0.002
--- a/src/currantcart/proxy/local_reply.py
+++ b/src/currantcart/proxy/requests/local_reply.py
@@ -4,7 +4,7 @@
 
 from typing import Protocol
 
-from currantcart.proxy import call as call_module
+from currantcart.proxy.requests import call as call_module
 
 
 class Endings(Protocol):
--- a/src/currantcart/proxy/outbound.py
+++ b/src/currantcart/proxy/requests/outbound.py
@@ -7,11 +7,12 @@
 from currantcart.admission import pressure, returns, slots
 from currantcart.call import attempt, lineage
 from currantcart.http1 import status as status_module
-from currantcart.proxy import attempts, edge, endings, guard, intake, parking
-from currantcart.proxy import call as call_module
 from currantcart.proxy import context as proxy_context
-from currantcart.proxy import peers as peers_module
-from currantcart.proxy import repeats as repeats_module
+from currantcart.proxy.requests import attempts, edge, endings, intake, parking
+from currantcart.proxy.requests import call as call_module
+from currantcart.proxy.requests import repeats as repeats_module
+from currantcart.proxy.streams import peers as peers_module
+from currantcart.proxy.targets import guard
 from currantcart.routing import picker
 from currantcart.workspace import quota
 
--- a/src/currantcart/proxy/parking.py
+++ b/src/currantcart/proxy/requests/parking.py
@@ -5,8 +5,8 @@
 import asyncio
 from collections.abc import Callable
 
-from currantcart.proxy import call as call_module
 from currantcart.proxy import context as proxy_context
+from currantcart.proxy.requests import call as call_module
 
 SWEEP_SECONDS = 0.03
 WAIT_OF_OBJECTIVE = 0.125
--- a/src/currantcart/proxy/repeats.py
+++ b/src/currantcart/proxy/requests/repeats.py
@@ -6,10 +6,10 @@
 
 from currantcart import clock
 from currantcart.call import attempt, budget, fixed_part
-from currantcart.proxy import call as call_module
 from currantcart.proxy import context as proxy_context
-from currantcart.proxy import guard
 from currantcart.proxy import settings as proxy_settings
+from currantcart.proxy.requests import call as call_module
+from currantcart.proxy.targets import guard
 
 CALLED_BY_REPEAT = "called_by_repeat"
 """Cause of a repeat that a further run of the request above made."""
--- a/src/currantcart/proxy/statuses.py
+++ b/src/currantcart/proxy/statuses.py
@@ -6,10 +6,11 @@
 from collections.abc import Callable
 
 from currantcart.fleet import target_record
-from currantcart.proxy import config_feed, frames, guard, link
 from currantcart.proxy import context as proxy_context
-from currantcart.proxy import peer as peer_module
-from currantcart.proxy import peers as peers_module
+from currantcart.proxy.streams import config_feed, frames, link
+from currantcart.proxy.streams import peer as peer_module
+from currantcart.proxy.streams import peers as peers_module
+from currantcart.proxy.targets import guard
 from currantcart.workspace import quota
 
 
--- a/src/currantcart/proxy/config_exchange.py
+++ b/src/currantcart/proxy/streams/config_exchange.py
@@ -12,8 +12,8 @@
 
 from currantcart.fleet import freshness
 from currantcart.proxy import context as proxy_context
-from currantcart.proxy import frames, link, peers
-from currantcart.proxy import peer as peer_module
+from currantcart.proxy.streams import frames, link, peers
+from currantcart.proxy.streams import peer as peer_module
 
 ENTRIES_PER_DOMAIN = 2
 """Nodes of another failure domain that are sent a version; one may be away."""
--- a/src/currantcart/proxy/config_feed.py
+++ b/src/currantcart/proxy/streams/config_feed.py
@@ -8,9 +8,9 @@
 from currantcart import errors
 from currantcart.catalog import model as catalog_model
 from currantcart.fleet import freshness
-from currantcart.proxy import config_exchange, frames, link, peers
 from currantcart.proxy import context as proxy_context
-from currantcart.proxy import peer as peer_module
+from currantcart.proxy.streams import config_exchange, frames, link, peers
+from currantcart.proxy.streams import peer as peer_module
 from currantcart.store import leased
 
 UNREAD_MAX = 20
--- a/src/currantcart/proxy/frames.py
+++ b/src/currantcart/proxy/streams/frames.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from currantcart import errors
-from currantcart.proxy import compression
+from currantcart.proxy.streams import compression
 
 FRAME_BYTES_MAX = 4 * 1024 * 1024
 PACKED_BYTES_MAX = 32 * 1024
--- a/src/currantcart/proxy/link.py
+++ b/src/currantcart/proxy/streams/link.py
@@ -13,8 +13,8 @@
 
 from currantcart import errors
 from currantcart.http1 import transport as stream
-from currantcart.proxy import compression, frames
 from currantcart.proxy import context as proxy_context
+from currantcart.proxy.streams import compression, frames
 
 PROTOCOL = 1
 SUSPECT_MS = 900.0
--- a/src/currantcart/proxy/peer.py
+++ b/src/currantcart/proxy/streams/peer.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from currantcart.proxy import frames, link
+from currantcart.proxy.streams import frames, link
 from currantcart.routing import picker
 
 
--- a/src/currantcart/proxy/peers.py
+++ b/src/currantcart/proxy/streams/peers.py
@@ -7,9 +7,9 @@
 from collections.abc import Callable, Iterable
 
 from currantcart.proxy import context as proxy_context
-from currantcart.proxy import frames, link, publisher, reachability
-from currantcart.proxy import peer as peer_module
 from currantcart.proxy import settings as proxy_settings
+from currantcart.proxy.streams import frames, link, publisher, reachability
+from currantcart.proxy.streams import peer as peer_module
 from currantcart.routing import picker
 
 DIAL_SECONDS_MAX = 0.7
--- a/src/currantcart/proxy/publisher.py
+++ b/src/currantcart/proxy/streams/publisher.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable
 
 from currantcart.proxy import context as proxy_context
-from currantcart.proxy import frames, link
+from currantcart.proxy.streams import frames, link
 
 STATUS_MS = 400.0
 STATUS_MS_PER_PEER = 6.0
--- a/src/currantcart/proxy/reachability.py
+++ b/src/currantcart/proxy/streams/reachability.py
@@ -6,7 +6,7 @@
 
 from currantcart.admission import pressure
 from currantcart.proxy import context as proxy_context
-from currantcart.proxy import link
+from currantcart.proxy.streams import link
 from currantcart.routing import picker
 
 PRESSURE_MS = 40.0
--- a/src/currantcart/proxy/registration.py
+++ b/src/currantcart/proxy/streams/registration.py
@@ -11,7 +11,7 @@
 from currantcart import errors
 from currantcart.fleet import target_record
 from currantcart.proxy import context as proxy_context
-from currantcart.proxy import frames
+from currantcart.proxy.streams import frames
 from currantcart.store import leased
 
 TTL_MS = 12_000.0
--- a/src/currantcart/proxy/silence.py
+++ b/src/currantcart/proxy/streams/silence.py
@@ -12,8 +12,8 @@
 from collections.abc import Callable, Iterable
 
 from currantcart.proxy import context as proxy_context
-from currantcart.proxy import frames, link
-from currantcart.proxy import peer as peer_module
+from currantcart.proxy.streams import frames, link
+from currantcart.proxy.streams import peer as peer_module
 
 UNHEARD_PACES = 0.6
 UNHEARD_MS = 150.0
--- /dev/null
+++ b/src/currantcart/proxy/targets/__init__.py
@@ -0,0 +1,1 @@
+"""The target beside this node: its queue, its requests, its reports."""
--- a/src/currantcart/proxy/guard.py
+++ b/src/currantcart/proxy/targets/guard.py
@@ -9,8 +9,9 @@
 from currantcart.admission import pressure, slots
 from currantcart.call import lineage
 from currantcart.proxy import context as proxy_context
-from currantcart.proxy import frames, target_exchange
-from currantcart.proxy import job as job_module
+from currantcart.proxy.streams import frames
+from currantcart.proxy.targets import job as job_module
+from currantcart.proxy.targets import target_exchange
 
 LATE_MS = 40.0
 """Time left below which a request isn't handed to the target any more."""
--- a/src/currantcart/proxy/inbound.py
+++ b/src/currantcart/proxy/targets/inbound.py
@@ -5,8 +5,9 @@
 import dataclasses
 
 from currantcart.proxy import context as proxy_context
-from currantcart.proxy import frames, guard, link
-from currantcart.proxy import job as job_module
+from currantcart.proxy.streams import frames, link
+from currantcart.proxy.targets import guard
+from currantcart.proxy.targets import job as job_module
 
 ASSEMBLED_BYTES_MAX = 96 * 1024 * 1024
 TRANSIT_MS_MAX = 500.0
--- a/src/currantcart/proxy/job.py
+++ b/src/currantcart/proxy/targets/job.py
@@ -8,7 +8,8 @@
 from currantcart.admission import slots
 from currantcart.call import lineage
 from currantcart.http1 import pool, status
-from currantcart.proxy import dialect, frames
+from currantcart.proxy import dialect
+from currantcart.proxy.streams import frames
 
 COULD_NOT_RUN = frozenset({400, 429, 503})
 MISDIRECTED = 421
--- a/src/currantcart/proxy/target_exchange.py
+++ b/src/currantcart/proxy/targets/target_exchange.py
@@ -7,8 +7,8 @@
 from currantcart.admission import speed
 from currantcart.http1 import pool, status
 from currantcart.proxy import context as proxy_context
-from currantcart.proxy import job as job_module
 from currantcart.proxy import settings as proxy_settings
+from currantcart.proxy.targets import job as job_module
 
 SLOW_OF_OBJECTIVE = 0.8
 """Part of the objective beyond which the time at the target is told."""
--- a/src/currantcart/proxy/target_reports.py
+++ b/src/currantcart/proxy/targets/target_reports.py
@@ -8,7 +8,9 @@
 from currantcart import errors
 from currantcart.fleet import target_record
 from currantcart.proxy import context as proxy_context
-from currantcart.proxy import control, guard, registration
+from currantcart.proxy import control
+from currantcart.proxy.streams import registration
+from currantcart.proxy.targets import guard
 
 PERSIST_SECONDS_MAX = 0.6
 """Time for which the answer to a leave waits for the store."""
--- /dev/null
+++ b/tests/proxy/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of callers' connections."""
--- /dev/null
+++ b/tests/proxy/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of requests on their way."""
--- a/tests/proxy/test_chains.py
+++ b/tests/proxy/requests/test_chains.py
@@ -4,7 +4,7 @@
 
 from currantcart.admission import slots
 from currantcart.call import lineage
-from currantcart.proxy import call as call_module
+from currantcart.proxy.requests import call as call_module
 from tests.fakes import mesh as fake_mesh
 
 
--- /dev/null
+++ b/tests/proxy/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what nodes tell each other."""
--- a/tests/proxy/test_config_exchange.py
+++ b/tests/proxy/streams/test_config_exchange.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from currantcart.platform import names
-from currantcart.proxy import frames, link
+from currantcart.proxy.streams import frames, link
 from tests.fakes import mesh as fake_mesh
 
 
--- a/tests/proxy/test_frames.py
+++ b/tests/proxy/streams/test_frames.py
@@ -9,7 +9,8 @@
 
 from currantcart import errors
 from currantcart.admission import pressure
-from currantcart.proxy import compression, frames, link, statuses
+from currantcart.proxy import statuses
+from currantcart.proxy.streams import compression, frames, link
 
 FAR_STATUS_BYTES = 10_240 / 195
 """What a status to each of 195 nodes may take, at one a second and 10 KB."""
--- a/tests/proxy/test_link.py
+++ b/tests/proxy/streams/test_link.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from currantcart.proxy import link, publisher
+from currantcart.proxy.streams import link, publisher
 from tests.fakes import mesh as fake_mesh
 
 PACE_MS = publisher.status_pace_ms(194)
--- a/tests/proxy/test_silence.py
+++ b/tests/proxy/streams/test_silence.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from currantcart.proxy import link, publisher, silence
+from currantcart.proxy.streams import link, publisher, silence
 from tests.fakes import mesh as fake_mesh
 
 SECONDS = 0.5
--- a/tests/proxy/test_store_calls.py
+++ b/tests/proxy/streams/test_store_calls.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from currantcart.platform import names
-from currantcart.proxy import registration
+from currantcart.proxy.streams import registration
 from tests.fakes import mesh as fake_mesh
 
 FLEET = 16
--- a/tests/workspace/test_publisher.py
+++ b/tests/workspace/test_publisher.py
@@ -7,7 +7,7 @@
 import pytest
 
 from currantcart.proxy import node as node_module
-from currantcart.proxy import publisher
+from currantcart.proxy.streams import publisher
 from currantcart.workspace import quota
 
 RATE = 200.0
--- a/tests/workspace/test_quota.py
+++ b/tests/workspace/test_quota.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from currantcart.proxy import link, publisher, silence
 from currantcart.proxy import node as node_module
+from currantcart.proxy.streams import link, publisher, silence
 from currantcart.workspace import quota
 
 RATE, BURST = 200.0, 200.0
