--- a/tests/admission/test_limit.py
+++ b/tests/admission/test_limit.py
@@ -20,11 +20,7 @@
 
 
 def test_target_that_queues_inside_is_limited_to_what_it_runs() -> None:
-    """A target announces 50 slots and runs 10.
-
-    Every call beyond ten waits inside, where nothing can be shed, and all
-    of them see five times the latency.
-    """
+    """A target announces 50 slots and runs 10."""
     concurrency = limit.ConcurrencyLimit(slots=50, now=0.0)
     concurrency.judge(10.0, saturated=False)
     settled = settle(concurrency, lambda value: max(10.0, value))
@@ -32,11 +28,7 @@
 
 
 def test_target_that_became_slower_keeps_its_slots() -> None:
-    """A deep service slows to a quarter; fewer calls would not speed it up.
-
-    A limit that follows latency alone would starve it of the concurrency
-    that it needs, and goodput would fall to a tenth.
-    """
+    """A deep service slows to a quarter; fewer calls would not speed it up."""
     concurrency = limit.ConcurrencyLimit(slots=50, now=0.0)
     concurrency.judge(10.0, saturated=False)
     assert settle(concurrency, lambda _: 40.0) >= 45
--- a/tests/admission/test_occupancy.py
+++ b/tests/admission/test_occupancy.py
@@ -46,11 +46,7 @@
 
 
 def test_calls_that_come_later_pass_a_root() -> None:
-    """Calls hold most of the slots for as long as one looks.
-
-    A root that counts only what stands before it believes that its turn is
-    soon, waits for as long as it may, and is refused or late after all.
-    """
+    """Calls hold most of the slots for as long as one looks."""
     made = occupancy.Occupancy()
     for _ in range(8):
         made.start(CALL, 0.0, 10)
@@ -160,12 +156,7 @@
 
 
 def test_a_root_that_is_served_is_served_in_time() -> None:
-    """Long roots share a small service with a flood of calls.
-
-    Each waits in the queue of one target until its patience ends, then in
-    that of the next one; it gets its slot when its answer is late anyway,
-    while callers that have just come are turned away for want of slots.
-    """
+    """Long roots share a small service with a flood of calls."""
     ended = Fleet(tell_age=True).play()
     assert ended["late"] < 0.05 * ended["in time"]
 
--- a/tests/admission/test_pressure.py
+++ b/tests/admission/test_pressure.py
@@ -64,12 +64,7 @@
 
 
 def test_the_gauge_rests_where_the_demand_just_fits() -> None:
-    """Half of what is asked has no room.
-
-    A gauge that only grew, or fell too slowly, would shed most of it for
-    long; one that is too quick swings, and the room stands empty half the
-    time.
-    """
+    """Half of what is asked has no room."""
     level = settled_level(offered=200, room=100)
     assert 0.42 < level < 0.55
 
@@ -79,11 +74,7 @@
 
 
 def test_demand_returns_soon_when_there_is_room_again() -> None:
-    """All nodes start anew; their first second is a crush, then it is calm.
-
-    Shedding that goes on while slots stand empty turns away callers for
-    nothing.
-    """
+    """All nodes start anew; their first second is a crush, then it is calm."""
     gauge = pressure.Gauge()
     gauge.level = 0.9
     for step in range(1, 21):
@@ -97,10 +88,7 @@
 
 
 def test_a_route_that_does_not_need_the_full_service_is_not_shed() -> None:
-    """Uploads go to a service whose other requests call a full one.
-
-    Nothing tells which requests call it; that uploads keep succeeding does.
-    """
+    """Uploads go to a service whose other requests call a full one."""
     shedder = pressure.Shedder(random.Random(2))
     levels = {"deep": 0.8}
     for step in range(100):
--- a/tests/admission/test_slots.py
+++ b/tests/admission/test_slots.py
@@ -118,12 +118,7 @@
 
 
 def test_calls_of_targets_go_before_roots_when_there_is_room_for_half() -> None:
-    """A chain of calls fails with any one of them.
-
-    In arrival order every second call is refused, four in a row succeed one
-    time in sixteen, and the callers above get errors for work that was done.
-    With the calls first, those already begun are finished.
-    """
+    """A chain of calls fails with any one of them."""
     asked, served = play({"call": 0, "root": 5})
     assert served["call"] >= 0.98 * asked["call"]
     asked, served = play({"call": 5, "root": 5})
--- a/tests/call/test_attempt.py
+++ b/tests/call/test_attempt.py
@@ -20,11 +20,7 @@
 def test_what_is_known_at_the_end_is_final(
     history: tuple[attempt.Event, ...],
 ) -> None:
-    """A late word about an attempt comes after its caller was answered.
-
-    Were it to change what is known, "not run" and "may have run" would both
-    have been told of one request.
-    """
+    """A late word about an attempt comes after its caller was answered."""
     outcome = attempt.Outcome.NOT_HANDED_OVER
     for event in history:
         before, outcome = outcome, attempt.after(outcome, event)
--- a/tests/cli/test_logs.py
+++ b/tests/cli/test_logs.py
@@ -111,11 +111,7 @@
 
 
 def test_losses_are_told_by_route_and_cause(lost: pathlib.Path) -> None:
-    """A payment fails because a call three services down was refused.
-
-    Its own node only knows that the target failed; without the line of that
-    call, on-call looks for the fault in the wrong service.
-    """
+    """A payment fails because a call three services down was refused."""
     words = f"{lost} --worth pay=3:1 --worth read=1:0.5 --json"
     rows = json.loads(tell("losses", words))
     assert [(row["route"], row["cause"], row["worth"]) for row in rows] == [
--- a/tests/config/test_edits.py
+++ b/tests/config/test_edits.py
@@ -37,11 +37,7 @@
 
 
 async def test_lost_answer_is_read_back_and_not_applied_twice() -> None:
-    """The store writes and its answer is lost.
-
-    A second try that did not look first would tell the operator that the
-    workspace exists already, or give a second key that nobody wrote down.
-    """
+    """The store writes and its answer is lost."""
     store = MemoryStore()
     store.lose_answers = 1
     made = await editor(store).apply(changes.create_workspace("mill", LIMITS))
@@ -108,10 +104,7 @@
 
 
 async def test_older_document_never_comes_into_force() -> None:
-    """A node that was cut off, or a restored store, brings an old revision.
-
-    Taking it would bring a withdrawn key back to life.
-    """
+    """A node that was cut off, or a restored store, brings an old revision."""
     state = view.ConfigState()
     for revision, expected in ((5, True), (4, False), (5, False), (6, True)):
         text = document.encode(document.Document(revision=revision))
--- a/tests/fleet/test_freshness.py
+++ b/tests/fleet/test_freshness.py
@@ -41,11 +41,7 @@
 
 
 def test_when_the_first_does_not_get_through_the_others_ask() -> None:
-    """The store turns the asking node away and serves the others.
-
-    If nobody took over, the whole fleet would stop serving keys though the
-    configuration lies there to be read.
-    """
+    """The store turns the asking node away and serves the others."""
     due = freshness.poll_due
     assert due(now=10_000, as_of=8_700, last_poll=0, rank=1)
     assert due(now=10_000, as_of=8_200, last_poll=0, rank=11)
--- a/tests/fleet/test_target_record.py
+++ b/tests/fleet/test_target_record.py
@@ -43,11 +43,7 @@
 def test_leaving_is_final_within_an_incarnation(
     leaving: Phase, sequence: int
 ) -> None:
-    """A heartbeat from before the leave arrives seconds after it.
-
-    Were it to count, requests would reach a target that is about to go, and
-    be cut with it.
-    """
+    """A heartbeat from before the leave arrives seconds after it."""
     record = restored()
     record.take(report(sequence=4))
     assert record.take(report(leaving, sequence=5))
--- a/tests/http1/test_pool.py
+++ b/tests/http1/test_pool.py
@@ -75,10 +75,7 @@
 def test_an_answer_before_the_body_is_sent_ends_the_connection(
     line: Line,
 ) -> None:
-    """A target refuses a long upload before it has read it, and reads on.
-
-    The next request's bytes would come where it reads the rest of the body.
-    """
+    """A target refuses a long upload before it has read it, and reads on."""
     line.wire.unsent = 40_000
     line.connection.data_received(WHOLE)
     assert line.answers
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -118,11 +118,7 @@
 
 
 async def test_body_cut_short_never_counts_as_whole(fleet: World) -> None:
-    """A caller's connection breaks in the middle of an upload.
-
-    A target that took the part for the whole would file half a batch report,
-    and the maker would never learn of it.
-    """
+    """A caller's connection breaks in the middle of an upload."""
     address = fleet.places["grades-1"].settings.listen.callers
     host, port = settings_model.split_address(address)
     _, writer = await asyncio.open_connection(host, port)
@@ -141,11 +137,7 @@
 
 
 async def test_caller_that_leaves_cancels_the_work(fleet: World) -> None:
-    """A guest closes the page while the target works on it.
-
-    Work for callers that left is what fills the slots of an overloaded
-    target; the target must see the cancellation.
-    """
+    """A guest closes the page while the target works on it."""
     place = fleet.places["grades-1"]
     place.target.behaviour.work_ms = 5_000
     address = place.settings.listen.callers
@@ -161,11 +153,7 @@
 
 
 async def test_slow_upload_holds_up_no_other_call(fleet: World) -> None:
-    """A maker uploads over a bad line to a target on another node.
-
-    All calls between two nodes share one stream; without a window for each
-    call the upload's bytes would fill it and stop the others.
-    """
+    """A maker uploads over a bad line to a target on another node."""
     await fleet.start("permits-1", "permits")
     await fleet.settle()
     chunks = [(0.3, b"x" * 60_000) for _ in range(20)]
--- a/tests/membership/test_detector.py
+++ b/tests/membership/test_detector.py
@@ -97,10 +97,7 @@
 
 @pytest.mark.parametrize("seed", range(5))
 def test_lost_datagrams_bury_no_one(seed: int) -> None:
-    """One datagram of five is lost, for a minute.
-
-    Suspicions come and go; an instance that is called dead would stand idle.
-    """
+    """One datagram of five is lost, for a minute."""
     net = Net(12, loss=0.2, seed=seed + 1)
     net.run(20)
     buried = set()
@@ -116,10 +113,7 @@
 
 
 def test_dead_instance_is_known_to_all_within_seconds() -> None:
-    """An instance is replaced without a word.
-
-    Until all know it, calls that go to it end as failures.
-    """
+    """An instance is replaced without a word."""
     net = Net(12)
     net.run(10)
     net.down.add("a5")
@@ -142,11 +136,7 @@
 
 
 def test_paused_instance_comes_back_under_a_new_incarnation() -> None:
-    """An instance is frozen for ten seconds and thaws.
-
-    It was called dead; if it could not refute that, its target would stand
-    idle until someone restarts it.
-    """
+    """An instance is frozen for ten seconds and thaws."""
     net = Net(8)
     net.run(10)
     net.down.add("a3")
--- a/tests/node/test_app.py
+++ b/tests/node/test_app.py
@@ -52,11 +52,7 @@
 async def test_leaving_node_still_carries_its_targets_own_calls(
     fleet: World,
 ) -> None:
-    """A node is told to stop while its target works on a call.
-
-    The target then calls a service below. If its node took no more calls,
-    the running request, an upload among them, would fail in the middle.
-    """
+    """A node is told to stop while its target works on a call."""
     place = fleet.places["permits-1"]
     place.target.behaviour.work_ms = 500
     call = asyncio.create_task(fleet.call("grades-1", "/permits/status"))
@@ -87,11 +83,7 @@
 async def test_calls_leave_nothing_to_the_garbage_collector(
     fleet: World,
 ) -> None:
-    """A node serves thousands of calls a second.
-
-    When each leaves objects that refer to each other, the collector stops all
-    calls for up to 40 ms every few seconds, and those are the slowest ones.
-    """
+    """A node serves thousands of calls a second."""
     calls = 50
     for _ in range(5):
         await fleet.call("permits-1", "/grades/a")
--- a/tests/node/test_distribute.py
+++ b/tests/node/test_distribute.py
@@ -98,11 +98,7 @@
 async def test_background_task_that_fails_runs_again(
     fleet: World, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """A fault of ours ends the watch of the store.
-
-    The node went on with its first revision for good, and withdrawn keys
-    with it.
-    """
+    """A fault of ours ends the watch of the store."""
     faults = iter([True, True])
     watch_once = distribute.Distributor.watch_once
 
@@ -138,11 +134,7 @@
 
 
 async def test_isolated_node_stops_within_a_bound(fleet: World) -> None:
-    """A node loses all peers and the store while a key is withdrawn.
-
-    It cannot hear of that; without a bound the key would work there for as
-    long as the node stays cut off.
-    """
+    """A node loses all peers and the store while a key is withdrawn."""
     names = list(fleet.places)
     node = fleet.places[names[0]].node
     for other in names[1:]:
@@ -172,11 +164,7 @@
 async def test_long_queue_of_a_withdrawn_key_ends_at_once(
     world: World,
 ) -> None:
-    """A flooding caller's key is withdrawn while all its calls wait.
-
-    Each refused one frees its slot for the next; done one inside the other
-    that broke off in the middle, and the rest waited in vain.
-    """
+    """A flooding caller's key is withdrawn while all its calls wait."""
     place = await world.start("grades-1", "grades", slots=100, work_ms=500)
     await world.settle()
     admission = place.node.guard.admission
--- a/tests/node/test_rates.py
+++ b/tests/node/test_rates.py
@@ -59,10 +59,7 @@
 async def test_traffic_at_one_node_uses_the_whole_fleets_rate(
     fleet: World,
 ) -> None:
-    """A workspace sends all its calls through one node, inside its rate.
-
-    A static share alone would refuse two of three.
-    """
+    """A workspace sends all its calls through one node, inside its rate."""
     admitted, share = await send(fleet, NODES[:1], rate=75, seconds=8)
     assert share > 0.98
     assert checkers.rate_is_kept(admitted, rate=RATE, burst=BURST) == []
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -110,11 +110,7 @@
     store: platform_store.KeyValueStore,
     fault: key_value.Fault,
 ) -> None:
-    """An answer is lost; its connection returns nothing any more.
-
-    A client that waited for it, or went on using the connection, would be
-    without a store though the store is well.
-    """
+    """An answer is lost; its connection returns nothing any more."""
     await store.get("warm/up")
     standin.fault = fault
     started = asyncio.get_running_loop().time()
@@ -175,10 +171,7 @@
 async def test_a_write_that_is_done_late_does_nothing_to_a_later_one(
     standin: key_value.KeyValueStandIn, store: platform_store.KeyValueStore
 ) -> None:
-    """The store says nothing to a write and does it two seconds later.
-
-    Done then, it would turn "leaving" back into "ready".
-    """
+    """The store says nothing to a write and does it two seconds later."""
     lease = await store.grant(ttl_ms=30_000)
     standin.fault = key_value.Fault.LATE
     with pytest.raises(port.StoreOutcomeUnknown):
--- a/tests/proxy/callers/test_callers.py
+++ b/tests/proxy/callers/test_callers.py
@@ -35,10 +35,7 @@
 async def test_what_must_not_repeat_waits_for_those_before_it(
     mesh: fake_mesh.Mesh,
 ) -> None:
-    """A payment is sent behind a request whose answer closes the connection.
-
-    The caller sends it again then, so it must not have begun.
-    """
+    """A payment is sent behind a request whose answer closes the connection."""
     place = await served(mesh)
     place.target.work_seconds = 0.5
     caller = await mesh.connect(place)
@@ -135,10 +132,7 @@
 
 
 async def test_a_trailer_is_no_header(mesh: fake_mesh.Mesh) -> None:
-    """Lines behind a chunked body come to the parser like headers.
-
-    Taken for headers, they would bring a key or an id past the checks.
-    """
+    """Lines behind a chunked body come to the parser like headers."""
     place = await served(mesh)
     caller = await mesh.connect(place)
     caller.send(
@@ -197,11 +191,7 @@
 async def test_late_in_a_shutdown_only_the_targets_own_calls_are_taken(
     mesh: fake_mesh.Mesh,
 ) -> None:
-    """Callers keep using their connections until the process is gone.
-
-    A root request taken near the end would be cut with its work half done;
-    a call of the own target is part of work that has to be finished.
-    """
+    """Callers keep using their connections until the process is gone."""
     place = await served(mesh)
     place.target.work_seconds = 3.5
     running = await mesh.connect(place)
@@ -237,11 +227,7 @@
 async def test_one_callers_connection_header_strips_nothing_of_another(
     mesh: fake_mesh.Mesh,
 ) -> None:
-    """A caller names headers of its connection, and its head then breaks off.
-
-    What it named concerns that connection; another caller's request that is
-    read next would lose its own headers on the way.
-    """
+    """A caller names headers of its connection; its head then breaks off."""
     place = await served(mesh)
     broken = await mesh.connect(place)
     broken.send(b"GET /inner/1 HTTP/1.1\r\nConnection: X-Kept\r\nHost: ")
@@ -253,12 +239,7 @@
 async def test_refused_callers_that_come_back_leave_room_for_others(
     mesh: fake_mesh.Mesh,
 ) -> None:
-    """Refused callers come back on new connections and keep the old ones.
-
-    Kept for their idle time, they took all descriptors of the process: new
-    callers waited for seconds, and their requests were started after they
-    had left.
-    """
+    """Refused callers come back on new connections and keep the old ones."""
     place = await served(mesh)
     limit = place.node.callers.bound.limit = 20
     for number in range(3 * limit):
--- a/tests/proxy/requests/test_chains.py
+++ b/tests/proxy/requests/test_chains.py
@@ -60,10 +60,7 @@
 async def test_nothing_is_assumed_of_a_call_with_an_id_of_another_form(
     mesh: fake_mesh.Mesh,
 ) -> None:
-    """An id is no proof: only that of a request that runs here is.
-
-    Taken on trust, a call could be put before what it doesn't belong to.
-    """
+    """An id is no proof: only that of a request that runs here is."""
     place = await mesh.add("a")
     await mesh.settle()
     await running(mesh, place, "9c4")
--- a/tests/proxy/requests/test_outcomes.py
+++ b/tests/proxy/requests/test_outcomes.py
@@ -75,11 +75,7 @@
 async def test_a_fee_whose_answer_is_lost_is_not_sent_again(
     mesh: fake_mesh.Mesh, fault: http_target.Script
 ) -> None:
-    """A target runs a payment and its answer is lost or spoilt.
-
-    Sent again, it would charge twice; said to be "not run", the caller would
-    send it again.
-    """
+    """A target runs a payment and its answer is lost or spoilt."""
     front, near, far = await two_targets(mesh)
     near.target.script = far.target.script = fault
     near.target.cut_after = far.target.cut_after = True
@@ -100,11 +96,7 @@
 
 
 async def test_a_second_answer_reaches_nobody(mesh: fake_mesh.Mesh) -> None:
-    """A target answers twice; the extra answer lies on the connection.
-
-    The next request on that connection would get it, and a guest would read
-    another guest's booking.
-    """
+    """A target answers twice; the extra answer lies on the connection."""
     place = await mesh.add("a")
     await mesh.settle()
     place.target.script = lambda seen: (
@@ -178,11 +170,7 @@
 async def test_a_request_that_was_held_up_is_not_run_late(
     mesh: fake_mesh.Mesh,
 ) -> None:
-    """A frame lies in a socket while its caller is told that time is over.
-
-    The node beside the target sees it arrive fresh; run then, a payment goes
-    through that its caller has given up.
-    """
+    """A frame lies in a socket while its caller is told that time is over."""
     front, near, _ = await two_targets(mesh)
     link = near.node.peers.by_instance["a"].incoming
     assert link is not None
@@ -204,11 +192,7 @@
 async def test_a_link_that_comes_back_does_not_start_what_was_given_up(
     mesh: fake_mesh.Mesh,
 ) -> None:
-    """A link holds requests up for seconds, and lets all go at once.
-
-    The callers have left long ago, and the cancels come right behind; started
-    all the same, the requests take slots from those that somebody waits for.
-    """
+    """A link holds requests up for seconds, and lets all go at once."""
     front, near, far = await two_targets(mesh)
     far.node.guard.ready = False
     far.node.peers.publish()
@@ -235,10 +219,7 @@
 async def test_a_peer_that_hears_late_gets_nothing_new(
     mesh: fake_mesh.Mesh,
 ) -> None:
-    """What a node sends waits in a queue while the other way is free.
-
-    It hears the peer all the time; only the age of what is echoed shows it.
-    """
+    """What a node sends waits in a queue while the other way is free."""
     front, near, far = await two_targets(mesh)
     link = near.node.peers.by_instance["a"].incoming
     assert link is not None
@@ -269,11 +250,7 @@
 async def test_a_node_at_a_used_address_takes_its_predecessors_place(
     mesh: fake_mesh.Mesh,
 ) -> None:
-    """A machine goes for good and another one gets its address.
-
-    Calls for the target that was there would all come back refused, for as
-    long as the old entry is believed.
-    """
+    """A machine goes for good and another one gets its address."""
     front = await mesh.add("a", service="other")
     gone = await mesh.add("b")
     await mesh.settle()
@@ -288,12 +265,7 @@
 async def test_a_target_behind_a_silent_stream_does_not_look_empty(
     mesh: fake_mesh.Mesh,
 ) -> None:
-    """A node is cut off in a burst, and nothing says so.
-
-    It told last that its target was nearly empty. The others fill up with
-    what comes, so it looks the better the longer it is silent, and callers
-    get nothing for all that goes there.
-    """
+    """A node is cut off in a burst, and nothing says so."""
     front, near, far = await two_targets(mesh)
     link = near.node.peers.by_instance["a"].incoming
     assert link is not None
@@ -329,10 +301,7 @@
 async def test_a_quiet_target_is_used_where_there_is_no_other(
     mesh: fake_mesh.Mesh, service: str
 ) -> None:
-    """Lost packets delay the sign of life of the only target.
-
-    The node's own target, of the same service, may be away as well.
-    """
+    """Lost packets delay the sign of life of the only target."""
     front = await mesh.add("a", service=service, report=False)
     await mesh.add("b")
     await mesh.settle()
--- a/tests/proxy/streams/test_config.py
+++ b/tests/proxy/streams/test_config.py
@@ -46,11 +46,7 @@
 async def test_a_withdrawn_key_stops_on_a_node_that_is_cut_off(
     mesh: fake_mesh.Mesh,
 ) -> None:
-    """A node loses the store and its peers; then a key is withdrawn.
-
-    Nothing tells it so; a node that went on would serve a stolen key for as
-    long as the cut lasts.
-    """
+    """A node loses the store and its peers; then a key is withdrawn."""
     places = await three_nodes(mesh)
     lone = places[2]
     mesh.loop.cuts |= {frozenset("ac"), frozenset("bc")}
@@ -165,11 +161,7 @@
 async def test_a_request_that_may_have_run_keeps_its_token(
     mesh: fake_mesh.Mesh,
 ) -> None:
-    """A target's answers are lost, and callers are told to come back.
-
-    Were the tokens of what ran given back, a workspace would get more than
-    its rate just when a target is in trouble.
-    """
+    """A target's answers are lost, and callers are told to come back."""
     mesh.store.operate(
         "op/config", fake_mesh.document(5, rate=0.001, burst=8.0)
     )
--- a/tests/proxy/streams/test_frames.py
+++ b/tests/proxy/streams/test_frames.py
@@ -74,11 +74,7 @@
 
 
 def test_what_nodes_tell_each_other_takes_half_the_bytes_when_packed() -> None:
-    """Bytes that leave a failure domain are paid for.
-
-    Each of many small calls repeats the header lines of the one before; sent
-    as they are, they cost more than the calls are worth to their callers.
-    """
+    """Bytes that leave a failure domain are paid for."""
     sizes = []
     for packed in (False, True):
         made, size = writer(packed=packed), 0
--- a/tests/proxy/test_goodbye.py
+++ b/tests/proxy/test_goodbye.py
@@ -16,12 +16,7 @@
 async def test_a_node_that_ends_leaves_its_part_of_the_rates(
     mesh: fake_mesh.Mesh,
 ) -> None:
-    """A target is taken away for good, and its node with it.
-
-    Counted as silent, the node would keep its part of each workspace's rate
-    until the store forgets it, and callers inside their rate are refused for
-    all that time.
-    """
+    """A target is taken away for good, and its node with it."""
     stays, _, leaves = await three(mesh)
     await leaves.node.drain()
     await leaves.node.stop()
--- a/tests/proxy/test_node.py
+++ b/tests/proxy/test_node.py
@@ -38,10 +38,7 @@
 
 
 async def test_a_long_body_arrives_whole(mesh: fake_mesh.Mesh) -> None:
-    """A body that is longer than one frame goes in parts between nodes.
-
-    Put together wrongly, the target stores a photo that nobody sent.
-    """
+    """A body that is longer than one frame goes in parts between nodes."""
     front = await mesh.add("a", service="other")
     back = await mesh.add("b")
     await mesh.settle()
@@ -58,11 +55,7 @@
 async def test_a_node_that_starts_again_uses_its_target_at_once(
     mesh: fake_mesh.Mesh,
 ) -> None:
-    """A node is started anew while its target goes on.
-
-    The target reports each second or two; until then its slots would stand
-    empty, and at the deepest service that is a third of the room.
-    """
+    """A node is started anew while its target goes on."""
     front = await mesh.add("a", service="other")
     back = await mesh.add("b")
     await mesh.settle()
@@ -74,11 +67,7 @@
 async def test_a_leave_outlives_the_process_that_acknowledged_it(
     mesh: fake_mesh.Mesh,
 ) -> None:
-    """A target says that it leaves, then its node is killed and starts again.
-
-    A node that forgot would send requests to a target that is about to go,
-    and they would be cut with it.
-    """
+    """A target says that it leaves, then its node is killed and starts."""
     front = await mesh.add("a", service="other")
     back = await mesh.add("b")
     await mesh.settle()
@@ -93,11 +82,7 @@
 async def test_a_leave_that_the_store_did_not_take_is_kept_by_the_peers(
     mesh: fake_mesh.Mesh,
 ) -> None:
-    """The store is away as the leave is acknowledged, and back later.
-
-    It then still says "ready" of the target, and the new process would
-    believe it.
-    """
+    """The store is away as the leave is acknowledged, and back later."""
     front = await mesh.add("a", service="other")
     back = await mesh.add("b")
     await mesh.settle()
@@ -114,11 +99,7 @@
 async def test_a_cancel_goes_to_where_the_request_is(
     mesh: fake_mesh.Mesh,
 ) -> None:
-    """The own guard refuses a request, and a peer's target runs it.
-
-    When the caller leaves, the target must stop; a node that cancelled the
-    refused attempt instead would leave the work running.
-    """
+    """The own guard refuses a request, and a peer's target runs it."""
     front = await mesh.add("a", slots=1)
     back = await mesh.add("b", domain="b")
     back.target.work_seconds = front.target.work_seconds = 3.0
@@ -142,11 +123,7 @@
 async def test_a_late_write_does_not_bring_a_target_back_that_has_left(
     mesh: fake_mesh.Mesh,
 ) -> None:
-    """The store does a write without an answer, seconds after a newer one.
-
-    The entry would say "ready" again of a target whose leave was
-    acknowledged, and all nodes that then start anew would believe it.
-    """
+    """The store does a write without an answer, seconds after a newer one."""
     front = await mesh.add("a", service="other")
     back = await mesh.add("b", report=False)
     await mesh.settle()
@@ -168,11 +145,7 @@
 async def test_a_node_that_could_not_read_writes_over_no_acknowledged_leave(
     mesh: fake_mesh.Mesh, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """The store loses the new process's first reads and takes its writes.
-
-    Written over, the leave that the process before has acknowledged would be
-    forgotten, and the target's late reports would be believed.
-    """
+    """The store loses the new process's first reads and takes its writes."""
     back = await mesh.add("b")
     await mesh.settle()
     assert await mesh.report(back, state="draining") == 200
@@ -229,10 +202,7 @@
 async def test_a_stale_list_takes_no_peer_away_that_is_heard(
     mesh: fake_mesh.Mesh,
 ) -> None:
-    """Cheap reads of the store are seconds behind, or far more.
-
-    A node that believed them would drop the targets that joined meanwhile.
-    """
+    """Cheap reads of the store are seconds behind, or far more."""
     front = await mesh.add("a", service="other")
     await mesh.settle()
     mesh.store.behind = set(mesh.store.items)
--- a/tests/routing/test_picker.py
+++ b/tests/routing/test_picker.py
@@ -182,10 +182,7 @@
 def test_the_least_cost_serves_more_in_time_than_other_ways(
     other: Choose,
 ) -> None:
-    """At nine tenths of what all three can do, one at half the speed.
-
-    The least cost serves all in time, chance and the own domain two thirds.
-    """
+    """At nine tenths of what all three can do, one at half the speed."""
     per_second = 0.9 * capacity(ONE_SLOW)
     chosen = World(least_cost, ONE_SLOW).play(per_second, EVEN)
     weighed = World(other, ONE_SLOW).play(per_second, EVEN)
@@ -271,10 +268,6 @@
 def test_a_request_waits_in_its_domain_for_a_part_of_its_objective(
     objective_ms: float, work_ms: float, least: float, most: float
 ) -> None:
-    """Many small calls leave a domain in which they would wait a moment.
-
-    Their bytes cost more than the moment; a request that has no time to wait
-    goes where there is room.
-    """
+    """Many small calls leave a domain in which they would wait a moment."""
     found = picker.distance(objective_ms, work_ms=work_ms)
     assert least <= found <= most
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -111,10 +111,7 @@
 
 
 def test_failing_target_leaves_and_comes_back_by_probes() -> None:
-    """A target answers each call at once with an error.
-
-    It looks idle, so without ejection it would draw ever more calls.
-    """
+    """A target answers each call at once with an error."""
     health = ejection.TargetHealth()
     fail(health, ejection.FAILURES_IN_ROW, 0.0)
     assert not health.usable(500.0)
--- a/tests/soak/test_world.py
+++ b/tests/soak/test_world.py
@@ -32,10 +32,7 @@
 async def test_a_node_that_two_series_restart_at_once_is_started_once(
     tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """Started twice, the second process finds the ports taken and ends.
-
-    The run then blames the node for having ended of itself.
-    """
+    """Started twice, the second process finds the ports taken and ends."""
     fleet = world.World(tmp_path, random.Random(1))
     first = Process()
     place = world.Place(
--- a/tests/store/test_http.py
+++ b/tests/store/test_http.py
@@ -119,10 +119,7 @@
 
 
 def test_calls_work_where_no_task_runs() -> None:
-    """A once-only call claims its operation in its eagerly started part.
-
-    aiohttp's time limits refuse to work there, and each payment was cut.
-    """
+    """A once-only call claims its operation in its eagerly started part."""
 
     async def work(store: port.Store, _: object) -> None:
         done: list[bool] = []
--- a/tests/telemetry/test_decisions.py
+++ b/tests/telemetry/test_decisions.py
@@ -85,11 +85,7 @@
 
 
 async def test_a_line_that_was_written_in_part_is_finished() -> None:
-    """A pipe takes a part of what is written when it is nearly full.
-
-    Left at that, the half line and the next one read as one, and the reader
-    finds the wrong cause for both.
-    """
+    """A pipe takes a part of what is written when it is nearly full."""
     pipe = Pipe(30)
     log = new_log(pipe, Time())
     log.event("first", n=1)
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -15,11 +15,7 @@
 def test_a_suspension_counts_for_freshness(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """A machine is suspended for six seconds, and a key is withdrawn then.
-
-    The steady clock stands still meanwhile; counted by it, the node would
-    think itself current and serve the key for as long again.
-    """
+    """A machine is suspended for six seconds, and a key is withdrawn then."""
     boot_ns = 100 * SECOND_NS
     monkeypatch.setattr(
         time,
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -48,11 +48,7 @@
 
 
 def test_a_signal_during_the_start_does_not_end_the_process() -> None:
-    """The settings change as a process starts; the platform says so by SIGHUP.
-
-    Until a handler stands, that ends the process, and with it a node that was
-    about to serve.
-    """
+    """The settings change as a process starts, which SIGHUP tells it."""
     first = (DEPLOY / "node.py").read_text().partition("sys.path")[0]
     ignored = first.index("signal.signal(signal.SIGHUP, signal.SIG_IGN)")
     assert ignored < first.index("import os")
@@ -70,10 +66,7 @@
 def test_a_port_that_is_taken_is_told_in_one_line(
     tmp_path: pathlib.Path,
 ) -> None:
-    """The process before has not gone yet as the next one starts.
-
-    A traceback in the log names no cause that on-call could search for.
-    """
+    """The process before has not gone yet as the next one starts."""
     with socket.socket() as taken, socket.socket() as free:
         taken.bind(("127.0.0.1", 0))
         taken.listen()
--- a/tests/wire/test_handshake.py
+++ b/tests/wire/test_handshake.py
@@ -51,11 +51,7 @@
 
 
 def test_reflected_proof_is_refused() -> None:
-    """A stranger dials and sends the acceptor its own words back.
-
-    A proof that held for both directions could be had from the acceptor
-    itself.
-    """
+    """A stranger dials and sends the acceptor its own words back."""
     _, acceptor = pair()
     acceptor.receive(acceptor.hello())
     with pytest.raises(errors.StreamError):
--- a/tests/workspace/test_publisher.py
+++ b/tests/workspace/test_publisher.py
@@ -100,12 +100,7 @@
 def test_callers_that_a_node_knows_nothing_of_are_served(
     nodes: int, rate: float, places: int, started: bool
 ) -> None:
-    """All nodes have just started, and a workspace's callers are at few.
-
-    A node that takes its part for an even one refuses them inside their rate
-    until it has heard of the others; they come back, and their answers are
-    late.
-    """
+    """All nodes have just started, and a workspace's callers are at few."""
     fleet = Fleet(nodes, rate=rate, started=started)
     fleet.play(per_second=0.66 * rate, places=places)
     assert len(fleet.admitted) >= 0.9 * fleet.asked
--- a/tests/workspace/test_quota.py
+++ b/tests/workspace/test_quota.py
@@ -197,11 +197,7 @@
 def test_callers_inside_the_rate_are_served(
     nodes: int, places: int, per_second: int
 ) -> None:
-    """Thinking of the others must not cost a workspace what it pays for.
-
-    They get nearly what one node that sees all of them would admit, once
-    the nodes have heard of each other.
-    """
+    """Thinking of the others must not cost a workspace what it pays for."""
     fleet = Fleet(nodes)
     play(
         fleet, per_second=per_second, reported_ms=400, places=min(nodes, places)
@@ -223,11 +219,7 @@
 
 
 def test_both_sides_of_a_cut_keep_to_the_rate_together() -> None:
-    """A third of the nodes is cut off from the others.
-
-    Were each side to go on as if the other had nothing, the workspace would
-    get twice what it pays for, at the cost of its neighbours.
-    """
+    """A third of the nodes is cut off from the others."""
     fleet = Fleet(12)
     play(fleet, per_second=900, cut_at=3_000)
     assert fleet.most_in_a_window() <= ALLOWED
