--- a/tests/proxy/streams/test_silence.py
+++ b/tests/proxy/streams/test_silence.py
@@ -23,6 +23,13 @@
     return places
 
 
+def held_up(place: fake_mesh.Place) -> silence.Silence:
+    """Has a node hear nothing for a while; returns its watch."""
+    for peer in place.node.peers.by_instance.values():
+        peer.heard_at -= 400.0
+    return place.node.silence
+
+
 def shares(mesh: fake_mesh.Mesh) -> dict[str, float]:
     return {
         name: round(place.node.quotas.silent_share * 12)
@@ -65,10 +72,7 @@
     mesh: fake_mesh.Mesh,
 ) -> None:
     """A pause of the process looks like the silence of everybody else."""
-    places = await pressed(mesh)
-    watch = places[0].node.silence
-    for peer in places[0].node.peers.by_instance.values():
-        peer.heard_at -= 400.0
+    watch = held_up((await pressed(mesh))[0])
     for _ in range(silence.ANSWER_TICKS):
         watch.tick(asking=True)
         assert watch.share() == 0.0
@@ -79,10 +83,7 @@
 async def test_without_a_workspace_at_its_limit_nobody_is_asked(
     mesh: fake_mesh.Mesh,
 ) -> None:
-    places = await pressed(mesh)
-    watch = places[0].node.silence
-    for peer in places[0].node.peers.by_instance.values():
-        peer.heard_at -= 400.0
+    watch = held_up((await pressed(mesh))[0])
     for _ in range(10):
         watch.tick(asking=False)
     assert watch.share() == 0.0
