Look for silence only while somebody is asked

Timed at 194 peers: 89 us a tick and 235 us for the share, twenty times a second, where the share alone took 68 us before.

Change: while no workspace presses and nobody owes an answer a tick does nothing, and the share compares times alone: 0.2 and 23 us. Decisions as before: 300 drawn histories of 300 ticks, with domains that fall silent and peers that come and go, gave the same share at each tick from the code before and after.

--- a/src/currantcart/proxy/streams/silence.py
+++ b/src/currantcart/proxy/streams/silence.py
@@ -56,7 +56,12 @@
 
 
 class Silence:
-    """Notices which peers are not heard."""
+    """Notices which peers are not heard.
+
+    Attributes:
+      domains: Failure domains, while somebody is or may be asked.
+      processes: The same of each peer that has told its status.
+    """
 
     def __init__(
         self,
@@ -92,6 +97,8 @@
         Args:
           asking: Whether those who are not heard are to be asked.
         """
+        if not asking and not self.domains:
+            return
         now, limit = self.context.now, unheard_ms(self.context.pace_ms)
         domains: dict[str, list[peer_module.Peer]] = {}
         processes: dict[str, Asked] = {}
@@ -112,6 +119,13 @@
             unheard = silence > UNHEARD_MS
             if self.domains[name].tick(unheard=unheard, asking=asking):
                 self.ask(peers)
+        if not asking and not self.is_anyone_asked():
+            self.domains, self.processes = {}, {}
+
+    def is_anyone_asked(self) -> bool:
+        """Tells whether an answer is waited for."""
+        waiting = (*self.domains.values(), *self.processes.values())
+        return any(asked.ticks for asked in waiting)
 
     def ask(self, peers: Iterable[peer_module.Peer]) -> None:
         """Asks a few peers for a sign of life."""
@@ -125,18 +139,16 @@
     def share(self) -> float:
         """Returns the part of the fleet that is not heard, 0 to 1."""
         living = self.living()
-        silent = sum(self.is_silent(peer) for peer in living)
+        oldest = self.context.now - link.suspect_ms(self.context.pace_ms)
+        silent = sum(
+            peer.heard_at < oldest or self.owes_answer(peer) for peer in living
+        )
         return silent / (len(living) + 1)
 
-    def is_silent(self, peer: peer_module.Peer) -> bool:
-        """Tells whether a peer may be behind a cut."""
-        silence = self.context.now - peer.heard_at
-        if silence > link.suspect_ms(self.context.pace_ms):
-            return True
-        return any(
-            asked is not None and asked.is_silent
-            for asked in (
-                self.processes.get(peer.member.process),
-                self.domains.get(peer.member.failure_domain),
-            )
-        )
+    def owes_answer(self, peer: peer_module.Peer) -> bool:
+        """Tells whether a peer, or its whole domain, has not answered."""
+        if not self.domains:
+            return False
+        domain = self.domains.get(peer.member.failure_domain)
+        process = self.processes.get(peer.member.process)
+        return any(asked and asked.is_silent for asked in (domain, process))
