Say once what a near node and a fresh target are; late, not unheard

Found on reading the change again: two checks of the own failure domain, one for streams and one for peers; the target of a member built in three places; a guarded write written out beside its own method; and a coined word for a status that is late. Behaviour stays: no figure, bound or assertion changes.

--- a/src/currantcart/proxy/streams/config_exchange.py
+++ b/src/currantcart/proxy/streams/config_exchange.py
@@ -57,10 +57,10 @@
           source: Stream that it came by; None if it was read in the store.
         """
         assert self.peers is not None
-        if source is not None and self.is_near(source):
+        if source is not None and self.is_near(source.peer):
             return
         for peer in self.peers.by_instance.values():
-            if self.is_of_own_domain(peer) or not self.fetches(peer):
+            if self.is_near(peer.member) or not self.fetches(peer):
                 self.send_to(peer)
         if source is None:
             for peer in self.entries():
@@ -72,7 +72,7 @@
         found: collections.Counter[str] = collections.Counter()
         for _, peer in sorted(self.peers.by_instance.items()):
             domain = peer.member.failure_domain
-            if self.is_of_own_domain(peer) or not self.peers.is_reached(peer):
+            if self.is_near(peer.member) or not self.peers.is_reached(peer):
                 continue
             if found[domain] < ENTRIES_PER_DOMAIN:
                 found[domain] += 1
@@ -109,7 +109,7 @@
         if not item.fetches or now - self.fetched_at < FETCH_AGAIN_MS:
             return
         waited = now - self.lacking_since >= NEAR_FIRST_MS
-        if self.is_near(item) or waited or self.is_first_of_domain():
+        if self.is_near(item.peer) or waited or self.is_first_of_domain():
             self.fetched_at = now
             item.send(frames.Fetch())
 
@@ -122,15 +122,10 @@
 
     # Who is where.
 
-    def is_near(self, item: link.Link) -> bool:
-        """Tells whether a stream stays in the own failure domain."""
+    def is_near(self, member: frames.Member | None) -> bool:
+        """Tells whether a node is in the own failure domain."""
         own = self.context.settings.failure_domain
-        return item.peer is not None and item.peer.failure_domain == own
-
-    def is_of_own_domain(self, peer: peer_module.Peer) -> bool:
-        """Tells whether a peer is in the own failure domain."""
-        own = self.context.settings.failure_domain
-        return peer.member.failure_domain == own
+        return member is not None and member.failure_domain == own
 
     def is_first_of_domain(self) -> bool:
         """Tells whether no near peer that is reached comes before this one."""
@@ -138,7 +133,7 @@
         own = self.context.settings.instance
         return not any(
             name < own
-            and self.is_of_own_domain(peer)
+            and self.is_near(peer.member)
             and self.peers.is_reached(peer)
             for name, peer in self.peers.by_instance.items()
         )
--- a/src/currantcart/proxy/streams/peer.py
+++ b/src/currantcart/proxy/streams/peer.py
@@ -12,6 +12,11 @@
 from currantcart.routing import picker
 
 
+def target_of(member: frames.Member) -> picker.Target:
+    """Returns the target beside a node, of which nothing is known yet."""
+    return picker.Target(member.instance, member.service, member.failure_domain)
+
+
 @dataclasses.dataclass(slots=True)
 class Peer:
     """A peer, from the first word of it until it is gone.
@@ -53,9 +58,7 @@
     def restart(self, member: frames.Member) -> None:
         """Forgets what the process before has told."""
         self.member = member
-        self.target = picker.Target(
-            member.instance, member.service, member.failure_domain
-        )
+        self.target = target_of(member)
         self.has_told = False
         self.version = 0
         self.started_at = float("-inf")
--- a/src/currantcart/proxy/streams/peers.py
+++ b/src/currantcart/proxy/streams/peers.py
@@ -62,9 +62,7 @@
             service=settings.service,
             failure_domain=settings.failure_domain,
         )
-        self.own = picker.Target(
-            settings.instance, settings.service, settings.failure_domain
-        )
+        self.own = peer_module.target_of(self.member)
         self.by_instance: dict[str, peer_module.Peer] = {}
         self.by_service: dict[str, list[picker.Target]] = {
             settings.service: [self.own]
@@ -97,9 +95,7 @@
             return peer
         if peer is not None:
             self.drop(peer, "started_anew")
-        target = picker.Target(
-            member.instance, member.service, member.failure_domain
-        )
+        target = peer_module.target_of(member)
         peer = peer_module.Peer(member, target, heard_at=self.context.now)
         self.by_instance[member.instance] = peer
         self.by_service.setdefault(member.service, []).append(target)
--- a/src/currantcart/proxy/streams/registration.py
+++ b/src/currantcart/proxy/streams/registration.py
@@ -318,4 +318,4 @@
     async def end(self) -> None:
         """Leaves the target's record in the store for the next process."""
         if self.dirty:
-            await self.guarded(self.write())
+            await self.guarded_write()
--- a/src/currantcart/proxy/streams/silence.py
+++ b/src/currantcart/proxy/streams/silence.py
@@ -15,17 +15,17 @@
 from currantcart.proxy.streams import frames, link
 from currantcart.proxy.streams import peer as peer_module
 
-UNHEARD_PACES = 0.6
-UNHEARD_MS = 150.0
+LATE_PACES = 0.6
+LATE_MS = 150.0
 """Silence after which a failure domain is asked, and a peer at the least."""
 ANSWER_TICKS = 3
 """Ticks without an answer; a node that was held up itself reads in between."""
 ASKED_PEERS = 3
 
 
-def unheard_ms(pace_ms: float) -> float:
+def late_ms(pace_ms: float) -> float:
     """Returns the silence after which a single peer is asked."""
-    return max(UNHEARD_MS, UNHEARD_PACES * pace_ms)
+    return max(LATE_MS, LATE_PACES * pace_ms)
 
 
 @dataclasses.dataclass(slots=True)
@@ -43,9 +43,9 @@
         """Whether nobody has answered."""
         return self.ticks > ANSWER_TICKS
 
-    def tick(self, *, unheard: bool, asking: bool) -> bool:
+    def tick(self, *, late: bool, asking: bool) -> bool:
         """Takes a moment's passing; returns whether to ask now."""
-        if not unheard:
+        if not late:
             self.ticks = 0
         elif self.ticks:
             self.ticks += 1
@@ -99,7 +99,7 @@
         """
         if not asking and not self.domains:
             return
-        now, limit = self.context.now, unheard_ms(self.context.pace_ms)
+        now, limit = self.context.now, late_ms(self.context.pace_ms)
         domains: dict[str, list[peer_module.Peer]] = {}
         processes: dict[str, Asked] = {}
         for peer in self.living():
@@ -108,7 +108,7 @@
             domains.setdefault(peer.member.failure_domain, []).append(peer)
             name = peer.member.process
             asked = processes[name] = self.processes.get(name) or Asked()
-            if asked.tick(unheard=now - peer.heard_at > limit, asking=asking):
+            if asked.tick(late=now - peer.heard_at > limit, asking=asking):
                 self.ask([peer])
         self.processes = processes
         self.domains = {
@@ -116,8 +116,8 @@
         }
         for name, peers in domains.items():
             silence = now - max(peer.heard_at for peer in peers)
-            unheard = silence > UNHEARD_MS
-            if self.domains[name].tick(unheard=unheard, asking=asking):
+            late = silence > LATE_MS
+            if self.domains[name].tick(late=late, asking=asking):
                 self.ask(peers)
         if not asking and not self.is_anyone_asked():
             self.domains, self.processes = {}, {}
--- a/tests/proxy/streams/test_silence.py
+++ b/tests/proxy/streams/test_silence.py
@@ -94,4 +94,4 @@
     nodes: int,
 ) -> None:
     pace = publisher.status_pace_ms(nodes - 1)
-    assert silence.unheard_ms(pace) + 200 < link.suspect_ms(pace) / 1.5
+    assert silence.late_ms(pace) + 200 < link.suspect_ms(pace) / 1.5
--- a/tests/workspace/test_quota.py
+++ b/tests/workspace/test_quota.py
@@ -236,8 +236,8 @@
     pace = publisher.status_pace_ms(nodes - 1)
     answered_ms = (silence.ANSWER_TICKS + 2) * node_module.TICK_MS
     fleet.noticed_ms = (
-        silence.UNHEARD_MS + answered_ms,
-        silence.unheard_ms(pace) + answered_ms,
+        silence.LATE_MS + answered_ms,
+        silence.late_ms(pace) + answered_ms,
     )
     counts_ms = publisher.counts_pace_ms(nodes - 1)
     play(
