Evacuated failure domains, slow start of cold targets, unreachable targets

Cause: on the deployment whose work has shifted, nodes knew no evacuation, gave a cold target its full share and kept a target that refuses connections in placing until its next report. Cold targets crashed under the first second of load, came back cold, were flooded again, and each refused connection took a repeat of the shared budget though nothing had arrived.

Change: - fleet/evacuation.py: evacuated domains ordered by the store's revision. They are read with the configuration (one range read and one watch of the operator's keys in place of one key: no further call) and travel in statuses, on the first of a stream and when they change; the reader publishes at once. Placing leaves such a domain out, the guard refuses what arrives as not run, what waits there goes elsewhere, a service without other targets is refused at once. - admission/slow_start.py: the guard bounds what a cold target gets in any one second (settings cold_overshoot and cold_slack, cold-per-s of the service). A target is also cold after an evacuation and after it refused connections, until it reports. A refusal for it closes the target at the caller's node for as long as the refusal says, and counts against no limit of guards but the one of placements (6). - A refused connection takes the target out at once, fleet-wide; one connection each 0.1 s lets it back. It costs no repeat of the budget: nothing arrived.

Tests, written with it: test_evacuations, test_cold_targets, test_slow_start, test_evacuation.

--- a/src/currantcart/catalog/model.py
+++ b/src/currantcart/catalog/model.py
@@ -69,10 +69,15 @@
     Attributes:
       name: Name of the service.
       connections_max: Maximum number of connections that a target accepts.
+      cold_ms: Time for which a target is cold after its start.
+      cold_rate: Requests per second that a cold target bears; 0 means no
+        limit.
     """
 
     name: str
     connections_max: int
+    cold_ms: float = 0.0
+    cold_rate: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/currantcart/platform/config.py
+++ b/src/currantcart/platform/config.py
@@ -64,6 +64,8 @@
 
     name: str
     max_connections: int = 100
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class TenantRecord(msgspec.Struct, rename="kebab"):
@@ -153,7 +155,12 @@
         version=document.version,
         routes=tuple(map(route_of, routes)),
         services=tuple(
-            model.Service(record.name, record.max_connections)
+            model.Service(
+                record.name,
+                record.max_connections,
+                cold_ms=record.cold_start_s * MS,
+                cold_rate=record.cold_per_s,
+            )
             for record in services
         ),
         workspaces=tuple(
--- a/src/currantcart/platform/names.py
+++ b/src/currantcart/platform/names.py
@@ -14,7 +14,9 @@
     key="Api-Key",
     seal="Currantcart-Server-Seal",
 )
+OPERATOR_PREFIX = "op/"
 CONFIG_KEY = "op/config"
+EVACUATIONS_PREFIX = "op/evacuate/"
 NODES_PREFIX = "currantcart/nodes/"
 READINESS_PATH = "/currantcart/readiness"
 REPORT_PATH = "/currantcart/rpc"
--- a/src/currantcart/platform/store.py
+++ b/src/currantcart/platform/store.py
@@ -59,6 +59,7 @@
 
     items: list[StoredItem]
     has_more: bool = False
+    as_of: int = 0
 
 
 class Lease(msgspec.Struct):
@@ -233,9 +234,22 @@
             return None
         return item_of(self.read(response, StoredItem))
 
+    async def read_range(self, prefix: str) -> leased.Range:
+        """Reads all keys with a prefix, in their latest state."""
+        return await self.read_pages(prefix, stale=False)
+
     async def list(self, prefix: str, *, stale: bool) -> list[leased.Item]:
-        """Reads all keys with a prefix, page by page."""
+        """Reads all keys with a prefix."""
+        return (await self.read_pages(prefix, stale=stale)).items
+
+    async def read_pages(self, prefix: str, *, stale: bool) -> leased.Range:
+        """Reads all keys with a prefix, page by page.
+
+        Pages are read one after the other, so the result holds as of the
+        first one: a later change may be missing.
+        """
         items: list[leased.Item] = []
+        as_of = 0
         query = {"prefix": prefix}
         if stale:
             query["allow-stale"] = "1"
@@ -245,8 +259,9 @@
             )
             page = self.read(response, Page)
             items += map(item_of, page.items)
+            as_of = as_of or page.as_of
             if not page.has_more or not page.items:
-                return items
+                return leased.Range(items, as_of)
             query["after"] = page.items[-1].key
 
     async def watch(
--- a/src/currantcart/proxy/context.py
+++ b/src/currantcart/proxy/context.py
@@ -8,7 +8,7 @@
 
 from currantcart import clock as clock_module
 from currantcart.catalog import model as catalog_model
-from currantcart.fleet import freshness
+from currantcart.fleet import evacuation, freshness
 from currantcart.proxy import header_names as header_names_module
 from currantcart.proxy import settings as proxy_settings
 from currantcart.telemetry import counts, decisions
@@ -30,6 +30,7 @@
       counts: Metrics of the node.
       catalog: Configuration in force; None before the first is received.
       freshness: How recently `catalog` was confirmed to be the newest version.
+      evacuations: Failure domains whose targets must get no requests.
       draining: Whether the node shuts down: readiness fails, and callers'
         connections are closed after their next response.
       rejecting_callers: Whether the node rejects new requests of callers.
@@ -51,6 +52,9 @@
     freshness: freshness.Freshness = dataclasses.field(
         default_factory=freshness.Freshness
     )
+    evacuations: evacuation.Evacuations = dataclasses.field(
+        default_factory=evacuation.Evacuations
+    )
     draining: bool = False
     rejecting_callers: bool = False
     leaving: bool = False
--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -10,7 +10,7 @@
 
 from currantcart import background
 from currantcart.admission import connections
-from currantcart.fleet import target_record
+from currantcart.fleet import evacuation, target_record
 from currantcart.proxy import context as proxy_context
 from currantcart.proxy import control, shutdown, state_log, statuses
 from currantcart.proxy import settings as proxy_settings
@@ -54,14 +54,14 @@
     """Properties of the platform that a node depends on.
 
     Attributes:
-      config_key: Store key of the operator's configuration.
+      operator_keys: Store keys that the operator writes.
       nodes_prefix: Prefix of the store keys of the nodes' entries.
       readiness_path: Path of the readiness probe.
       parse_config: Parses the operator's configuration.
       parse_report: Parses a report of a target from its path and body.
     """
 
-    config_key: str
+    operator_keys: config_feed.OperatorKeys
     nodes_prefix: str
     readiness_path: str
     parse_config: config_feed.Parse
@@ -113,9 +113,10 @@
         self.feed = config_feed.ConfigFeed(
             context,
             store=store,
-            key=deployment.config_key,
+            keys=deployment.operator_keys,
             parse=deployment.parse_config,
             on_change=self.apply_config,
+            on_evacuation=self.apply_evacuation,
         )
         self.peer_status_received = asyncio.Event()
         self.statuses = statuses.Statuses(
@@ -146,6 +147,7 @@
         )
         self.outbound.peers = self.peers
         self.statuses.peers = self.peers
+        self.guard.publish = self.peers.publish
         self.guard.called_pressure = self.outbound.ingress.called_pressure
         self.feed.peers = self.peers
         self.feed.exchange.peers = self.peers
@@ -199,10 +201,21 @@
             self.inbound.handle_link_lost(item)
 
     def apply_config(self) -> None:
-        """Applies the workspaces' rates of a new configuration."""
+        """Applies the rates and limits of a new configuration."""
         catalog = self.context.catalog
         assert catalog is not None
         self.quotas.configure(catalog.rates(), self.context.now)
+        self.guard.configure_slow_start()
+
+    def apply_evacuation(self, change: evacuation.Change) -> None:
+        """Stops or resumes the placement on targets of a failure domain."""
+        self.peers.reachability.invalidate()
+        own = self.context.settings.failure_domain
+        if own in change.evacuated:
+            self.guard.refuse_waiting("domain_evacuated")
+        if own in change.restored:
+            # Targets may have become cold meanwhile; the next report tells.
+            self.guard.assume_cold()
 
     # Probes and metrics.
 
@@ -236,6 +249,7 @@
         self.context.counts.gauges = {
             "config_version": lambda: known.version,
             "config_age_seconds": lambda: known.age(self.context.now) / 1e3,
+            "domains_evacuated": lambda: len(self.context.evacuations.domains),
             "peers": lambda: len(self.peers.by_instance),
             "peers_silent_ratio": self.silence.share,
             "calls": lambda: len(self.outbound.calls),
--- a/src/currantcart/proxy/requests/outbound.py
+++ b/src/currantcart/proxy/requests/outbound.py
@@ -24,6 +24,13 @@
 
 GUARDS_MAX = 3
 """Number of guards that may refuse a request before it fails."""
+PLACEMENTS_MAX = 6
+"""The same for guards whose targets get no requests, or few, for a while.
+
+They tell nothing of the load of the others, so more of them are tried.
+"""
+UNAVAILABLE = frozenset({"target_cold", "target_unreachable"})
+"""Refusals for a while, whatever the load: another target may have room."""
 UNREADY_RETRY_MS = 400.0
 
 
@@ -146,7 +153,10 @@
             objective_ms=call.request.route.objective_ms,
         )
         if chosen is None:
-            if not self.pending.hold(call):
+            if self.peers.reachability.is_evacuated(call.service):
+                call.last_code = "domain_evacuated"
+                self.give_up(call)
+            elif not self.pending.hold(call):
                 self.give_up(call)
             return
         self.attempts.begin(call, chosen)
@@ -206,14 +216,19 @@
         """
         self.context.counts.add("attempts", call.service, code)
         self.attempts.apply_event(call, attempt.Event.REFUSE)
+        if code in UNAVAILABLE and call.target is not None:
+            call.target.closed_until = self.context.now + retry_after_ms
         self.attempts.end_attempt(call, failed=at_target)
         call.last_code = code
         call.retry_after_ms = max(call.retry_after_ms, retry_after_ms)
         if at_target:
             self.retry(call)
             return
-        call.refusing_guards += 1
-        if call.refusing_guards < GUARDS_MAX:
+        call.refusing_guards += code not in UNAVAILABLE
+        if (
+            call.refusing_guards < GUARDS_MAX
+            and len(call.outcomes) < PLACEMENTS_MAX
+        ):
             self.dispatch(call)
         else:
             self.give_up(call)
--- a/src/currantcart/proxy/serve.py
+++ b/src/currantcart/proxy/serve.py
@@ -20,13 +20,18 @@
 from currantcart.proxy import context as proxy_context
 from currantcart.proxy import header_names, node
 from currantcart.proxy import settings as proxy_settings
+from currantcart.proxy.streams import config_feed
 from currantcart.telemetry import decisions
 
 SETTINGS_SECONDS = 1.0
 GC_YOUNG, GC_MIDDLE, GC_OLD = 20_000, 20, 50
 
 DEPLOYMENT = node.Deployment(
-    config_key=names.CONFIG_KEY,
+    operator_keys=config_feed.OperatorKeys(
+        prefix=names.OPERATOR_PREFIX,
+        config=names.CONFIG_KEY,
+        evacuations=names.EVACUATIONS_PREFIX,
+    ),
     nodes_prefix=names.NODES_PREFIX,
     readiness_path=names.READINESS_PATH,
     parse_config=config.parse,
--- a/src/currantcart/proxy/settings.py
+++ b/src/currantcart/proxy/settings.py
@@ -45,6 +45,9 @@
       retry_ratio: Retries that a service may receive for each of its requests.
       retry_slack: Retries allowed beyond the ratio, over all nodes.
       retry_window_seconds: Length of the window in which retries are counted.
+      cold_overshoot: Multiple of a service's cold rate that a cold target may
+        get in one second.
+      cold_slack: Requests that it may get beyond that.
     """
 
     revoke_seconds: float = 5.0
@@ -53,6 +56,8 @@
     retry_ratio: float = 0.2
     retry_slack: float = 48.0
     retry_window_seconds: float = 10.0
+    cold_overshoot: float = 1.5
+    cold_slack: float = 8.0
 
 
 class ProxySettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
--- a/src/currantcart/proxy/statuses.py
+++ b/src/currantcart/proxy/statuses.py
@@ -72,6 +72,7 @@
             left=self.peers.leaving_targets.get(item.peer.instance)
             if item.peer
             else None,
+            evacuations=self.feed.evacuations.unsent(item),
         )
 
     def apply_status(
--- a/src/currantcart/proxy/streams/config_exchange.py
+++ b/src/currantcart/proxy/streams/config_exchange.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import collections
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from currantcart.fleet import freshness
 from currantcart.proxy import context as proxy_context
@@ -39,10 +39,17 @@
       outdated_since: When a peer first reported a newer version; None while
         none has.
       fetched_at: When `Fetch` was last sent to a peer.
+      evacuations: Returns the evacuations to send with the configuration.
     """
 
-    def __init__(self, context: proxy_context.Context) -> None:
+    def __init__(
+        self,
+        context: proxy_context.Context,
+        *,
+        evacuations: Callable[[], frames.Evacuations | None],
+    ) -> None:
         self.context = context
+        self.evacuations = evacuations
         self.peers: peers.Peers | None = None
         self.document = b""
         self.applied_at = 0.0
@@ -100,7 +107,11 @@
         if item.sent_version >= known.version:
             return
         item.sent_version = known.version
-        item.send(frames.Config(known.version, known.as_of, self.document))
+        item.send(
+            frames.Config(
+                known.version, known.as_of, self.document, self.evacuations()
+            )
+        )
 
     # Handling of peers' reports.
 
--- a/src/currantcart/proxy/streams/config_feed.py
+++ b/src/currantcart/proxy/streams/config_feed.py
@@ -3,13 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 from collections.abc import Callable
 
 from currantcart import errors
 from currantcart.catalog import model as catalog_model
-from currantcart.fleet import freshness
+from currantcart.fleet import evacuation, freshness
 from currantcart.proxy import context as proxy_context
-from currantcart.proxy.streams import config_exchange, frames, link, peers
+from currantcart.proxy.streams import (
+    config_exchange,
+    evacuation_exchange,
+    frames,
+    link,
+    peers,
+)
 from currantcart.proxy.streams import peer as peer_module
 from currantcart.store import leased
 
@@ -20,11 +27,28 @@
 Parse = Callable[[bytes], catalog_model.Catalog]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OperatorKeys:
+    """Keys that the operator writes.
+
+    Attributes:
+      prefix: Prefix of all of them; they are read and watched together.
+      config: Key of the configuration.
+      evacuations: Prefix of the keys that evacuate a failure domain; the rest
+        of the key is its name.
+    """
+
+    prefix: str
+    config: str
+    evacuations: str
+
+
 class ConfigFeed:
-    """Keeps one node's configuration up to date.
+    """Keeps one node's configuration and evacuations up to date.
 
     Attributes:
       exchange: The configuration in force, and its exchange with peers.
+      evacuations: The evacuated failure domains, and their exchange.
       as_of: The store's revision when the configuration was last read.
       peers_listed_at: When the store's entries were first read; None before.
       last_poll: When the last read from the store began.
@@ -37,17 +61,23 @@
         context: proxy_context.Context,
         *,
         store: leased.LeasedStore,
-        key: str,
+        keys: OperatorKeys,
         parse: Parse,
         on_change: Callable[[], None],
+        on_evacuation: Callable[[evacuation.Change], None],
     ) -> None:
         self.context = context
         self.store = store
-        self.key = key
+        self.keys = keys
         self.parse = parse
         self.on_change = on_change
+        self.evacuations = evacuation_exchange.EvacuationExchange(
+            context, on_change=on_evacuation
+        )
         self.peers: peers.Peers | None = None
-        self.exchange = config_exchange.ConfigExchange(context)
+        self.exchange = config_exchange.ConfigExchange(
+            context, evacuations=self.evacuations.state
+        )
         self.as_of = 0
         self.peers_listed_at: float | None = None
         self.last_poll = freshness.NEVER
@@ -103,7 +133,7 @@
                 continue
             try:
                 changes = await self.store.watch(
-                    self.key, after=self.as_of, wait_ms=WATCH_MS
+                    self.keys.prefix, after=self.as_of, wait_ms=WATCH_MS
                 )
             except errors.CurrantcartError:
                 # The next poll sets the revision to resume from.
@@ -115,10 +145,10 @@
                 await asyncio.wait([self.begin_poll()])
 
     async def poll(self) -> None:
-        """Reads the configuration once."""
+        """Reads the configuration and the evacuations once."""
         asked_at = self.context.now
         try:
-            item = await self.store.get(self.key)
+            found = await self.store.read_range(self.keys.prefix)
         except errors.CurrantcartError as error:
             if self.is_store_reachable:
                 self.context.log.event(
@@ -131,13 +161,37 @@
         if not self.is_store_reachable:
             self.context.log.event("config_read_again")
         self.is_store_reachable = True
-        if item is None:
+        self.apply_evacuations(found)
+        document = next(
+            (
+                item.value
+                for item in found.items
+                if item.key == self.keys.config
+            ),
+            None,
+        )
+        if document is None:
             return
-        self.as_of = item.as_of
+        self.as_of = found.as_of
         self.read_as_of = asked_at
-        if self.apply(item.value, asked_at, "store"):
+        if self.apply(document, asked_at, "store"):
             self.exchange.disseminate(None)
 
+    def apply_evacuations(self, found: leased.Range) -> None:
+        """Applies the evacuations in the store; a change is published at once.
+
+        Only the key counts: its value is the operator's.
+        """
+        assert self.peers is not None
+        prefix = self.keys.evacuations
+        domains = [
+            item.key.removeprefix(prefix)
+            for item in found.items
+            if item.key.startswith(prefix)
+        ]
+        if self.evacuations.adopt(domains, found.as_of, source="store"):
+            self.peers.publish()
+
     def apply(self, document: bytes, as_of: float, source: str) -> bool:
         """Applies a document if its version is newer.
 
@@ -188,12 +242,13 @@
     def handle_status(
         self, peer: peer_module.Peer, item: link.Link, status: frames.Status
     ) -> None:
-        """Compares a peer's version with the local one.
+        """Applies a peer's evacuations, and compares its version.
 
         The same version confirms that the local one is current; a different
         one is sent to the peer or fetched from it.
         """
         known = self.context.freshness
+        self.evacuations.handle(item, status.evacuations)
         if status.version == known.version and item.ready:
             as_of = min(self.context.now, item.clock.to_own(status.as_of_ms))
             known.confirm(status.version, as_of)
@@ -204,7 +259,12 @@
             self.exchange.handle_newer_version(item)
 
     def handle_config(self, item: link.Link, config: frames.Config) -> None:
-        """Applies a configuration that a peer has sent, and forwards it."""
+        """Applies a configuration that a peer has sent, and forwards it.
+
+        The evacuations go first: a starting node must not route requests by a
+        configuration before it knows them.
+        """
+        self.evacuations.handle(item, config.evacuations)
         as_of = freshness.NEVER
         if item.ready:
             as_of = min(self.context.now, item.clock.to_own(config.as_of_ms))
--- a/src/currantcart/proxy/streams/frames.py
+++ b/src/currantcart/proxy/streams/frames.py
@@ -71,6 +71,18 @@
     work_ms: float = 0.0
 
 
+class Evacuations(msgspec.Struct, array_like=True, frozen=True):
+    """Evacuated failure domains that a node knows.
+
+    Attributes:
+      revision: Revision of the store as of which they are evacuated.
+      domains: Their names.
+    """
+
+    revision: int
+    domains: tuple[str, ...]
+
+
 class Hello(msgspec.Struct, array_like=True, tag=1):
     """First frame in each direction; introduces the sender.
 
@@ -106,6 +118,8 @@
         those that have changed.
       left: Id and start time of the receiver's target, if it was reported to
         the sender as leaving.
+      evacuations: Evacuated failure domains; None if the receiver was sent the
+        same ones before.
     """
 
     now_ms: float
@@ -116,6 +130,7 @@
     target: TargetState
     counts: dict[str, int]
     left: tuple[str, int] | None = None
+    evacuations: Evacuations | None = None
 
 
 class Config(msgspec.Struct, array_like=True, tag=3):
@@ -125,11 +140,14 @@
       version: Its number.
       as_of_ms: When it was the newest, on the sender's clock.
       document: The configuration as the store holds it.
+      evacuations: Evacuated failure domains; None from a node of a release
+        that does not know them.
     """
 
     version: int
     as_of_ms: float
     document: bytes
+    evacuations: Evacuations | None = None
 
 
 class Open(msgspec.Struct, array_like=True, tag=4):
--- a/src/currantcart/proxy/streams/link.py
+++ b/src/currantcart/proxy/streams/link.py
@@ -148,6 +148,8 @@
       status_now: Peer's clock in its last `Hello` or status.
       status_at: When that frame was received.
       published_counts: Counts of admitted requests last sent to the peer.
+      sent_evacuations: Evacuated failure domains last sent to the peer; None
+        before the first, or if the peer is to be sent them again.
       calls: Calls on it by number; their type is up to the owner.
     """
 
@@ -175,6 +177,7 @@
         self.logged_unresponsive = False
         self.published_counts: dict[str, int] = {}
         self.sent_version = 0
+        self.sent_evacuations: frozenset[str] | None = None
         self.fetches = False
         self.transport: asyncio.Transport | None = None
         self.writer = frames.FrameWriter()
--- a/src/currantcart/proxy/streams/reachability.py
+++ b/src/currantcart/proxy/streams/reachability.py
@@ -71,7 +71,10 @@
             return cached
         found: list[picker.Target] = []
         unresponsive: list[picker.Target] = []
+        evacuated = self.context.evacuations.domains
         for target in self.by_service.get(service, ()):
+            if target.failure_domain in evacuated:
+                continue
             if target is self.local_target:
                 found.append(target)
             elif target.ready and (outgoing := self.link_to(target.instance)):
@@ -92,6 +95,8 @@
         found = self.reachable(service)
         if len(found) <= CANDIDATES_ALL:
             return found
+        now = self.context.now
+        found = [item for item in found if item.closed_until <= now]
         domain = self.local_target.failure_domain
         near = [item for item in found if item.failure_domain == domain]
         far = [item for item in found if item.failure_domain != domain]
@@ -99,11 +104,15 @@
         return (
             rng.sample(near, min(len(near), CANDIDATES_NEAR))
             + rng.sample(far, min(len(far), CANDIDATES_FAR))
-            + (
-                [self.local_target]
-                if service == self.local_target.service
-                else []
-            )
+            + ([self.local_target] if self.local_target in found else [])
+        )
+
+    def is_evacuated(self, service: str) -> bool:
+        """Returns whether all targets of a service are in evacuated domains."""
+        domains = self.context.evacuations.domains
+        return bool(domains) and all(
+            target.failure_domain in domains
+            for target in self.by_service.get(service, ())
         )
 
     def pressure_on(self, service: str) -> pressure.Pressure:
--- a/src/currantcart/proxy/targets/guard.py
+++ b/src/currantcart/proxy/targets/guard.py
@@ -6,8 +6,10 @@
 import math
 from collections.abc import Callable
 
-from currantcart.admission import pressure, slots
+from currantcart.admission import pressure, slots, slow_start
 from currantcart.call import lineage
+from currantcart.catalog import model as catalog_model
+from currantcart.http1 import pool
 from currantcart.proxy import context as proxy_context
 from currantcart.proxy.streams import frames
 from currantcart.proxy.targets import job as job_module
@@ -16,6 +18,8 @@
 LATE_MS = 40.0
 """Time left below which a request to the target is refused."""
 SWEEP_SECONDS = 0.02
+PROBE_SECONDS = 0.1
+"""Time between two attempts to connect to a target that refuses connections."""
 # Latency objective assumed before the first request.
 OBJECTIVE_MS = 300.0
 # Weight of each request's objective in the moving average.
@@ -31,7 +35,8 @@
         milliseconds since 1970.
       slot_count: Requests that the target runs concurrently, as it reports.
       ready: Whether the target accepts requests.
-      cold_until: End of the target's warm-up, on the node's clock.
+      slow_start: Bound on the requests that the target gets while it is cold.
+      reachable: Whether the target accepts connections.
       queue: The target's slots and the queue of requests that wait for one.
       running: Requests that hold a slot, by object identity.
       by_request: The same requests, by request id.
@@ -40,6 +45,7 @@
       objective_ms: Moving average of the requests' latency objectives.
       called_pressure: Returns the pressure of the services that the target
         calls; set by the node.
+      publish: Sends the node's status to its peers; set by the node.
       sweeping: Timer of the next sweep; None while no request waits.
     """
 
@@ -50,7 +56,8 @@
         self.born = 0
         self.slot_count = 1
         self.ready = False
-        self.cold_until = 0.0
+        self.slow_start = slow_start.SlowStart(started_at=context.now)
+        self.reachable = True
         self.queue: slots.SlotQueue[job_module.Job] = slots.SlotQueue()
         self.running: dict[int, job_module.Job] = {}
         self.by_request: dict[str, job_module.Job] = {}
@@ -58,6 +65,7 @@
         self.gauge = pressure.Gauge()
         self.objective_ms = OBJECTIVE_MS
         self.called_pressure: Callable[[], pressure.Pressure] = dict
+        self.publish: Callable[[], None] = lambda: None
         self.sweeping: asyncio.TimerHandle | None = None
 
     def set_target(
@@ -85,12 +93,77 @@
         self.born = born
         self.slot_count = slot_count
         self.ready = ready
-        self.cold_until = self.context.now + cold_ms
+        self.reachable = True
+        self.slow_start.cold_until = self.context.now + cold_ms
         self.queue.configure(slot_count)
         if not ready:
             self.refuse_waiting("target_leaving")
         self.run_waiting()
 
+    def configure_slow_start(self) -> None:
+        """Applies the limit for a cold target of a new configuration."""
+        service = self.service()
+        bounds = self.context.settings.bounds
+        self.slow_start.limit = slow_start.requests_per_second(
+            service.cold_rate if service else 0.0,
+            overshoot=bounds.cold_overshoot,
+            slack=bounds.cold_slack,
+        )
+
+    def service(self) -> catalog_model.Service | None:
+        """Returns the target's service; None while it is not configured."""
+        catalog = self.context.catalog
+        if catalog is None:
+            return None
+        return catalog.services.get(self.context.settings.service)
+
+    def assume_cold(self) -> None:
+        """Treats the target as cold until its next report.
+
+        It may have become cold without a report of it so far.
+        """
+        service = self.service()
+        if service is not None:
+            self.slow_start.cold_until = self.context.now + service.cold_ms
+
+    def mark_unreachable(self) -> None:
+        """Stops admission to a target that refuses connections.
+
+        It is published at once. All that waits would otherwise be sent to the
+        target as soon as it has started again, and to its successors.
+        """
+        if not self.reachable:
+            return
+        self.reachable = False
+        self.context.log.event("target_down", target=self.target_id)
+        self.refuse_waiting("target_unreachable")
+        self.publish()
+        self.loop.call_later(PROBE_SECONDS, self.probe_target)
+
+    def probe_target(self) -> None:
+        """Connects to an unreachable target; repeated until one succeeds."""
+        if not self.reachable and self.ready:
+            self.exchange.pool.dial(self.probe_succeeded, self.probe_failed)
+
+    def probe_failed(self, reason: str) -> None:
+        """Schedules the next probe."""
+        del reason
+        self.loop.call_later(PROBE_SECONDS, self.probe_target)
+
+    def probe_succeeded(self, connection: pool.Connection) -> None:
+        """Resumes admission: the target accepts connections again.
+
+        It has probably started anew, and is cold until its report says
+        otherwise.
+        """
+        self.exchange.pool.give_back(connection, self.context.now)
+        if self.reachable:
+            return
+        self.reachable = True
+        self.assume_cold()
+        self.context.log.event("target_up", target=self.target_id)
+        self.publish()
+
     def mark_target_leaving(self) -> None:
         """Stops admission to a target that leaves, as another source reports.
 
@@ -103,16 +176,42 @@
         """Returns the target's state as published to peers."""
         return frames.TargetState(
             target_id=self.target_id,
-            ready=self.ready and not self.context.leaving,
-            limit=self.queue.slots,
+            ready=self.admits and not self.context.leaving,
+            limit=self.limit(),
             busy=self.busy,
-            cold_ms=math.ceil(max(0.0, self.cold_until - self.context.now)),
+            cold_ms=math.ceil(
+                max(0.0, self.slow_start.cold_until - self.context.now)
+            ),
             pressure=pressure.quantize(self.pressure()),
             leaving=bool(self.target_id) and not self.ready,
             born=self.born,
             work_ms=math.ceil(self.exchange.work_time.reported_ms),
         )
 
+    @property
+    def admits(self) -> bool:
+        """Whether the target accepts requests and connections."""
+        return self.ready and self.reachable
+
+    @property
+    def is_evacuated(self) -> bool:
+        """Whether the target's failure domain is evacuated."""
+        own = self.context.settings.failure_domain
+        return own in self.context.evacuations.domains
+
+    def limit(self) -> int:
+        """Returns the requests that the target is given concurrently.
+
+        A cold target is given as many as its rate comes to: peers then place
+        on it in that proportion, and its overload weighs no more.
+        """
+        if not self.slow_start.is_limited(self.context.now):
+            return self.queue.slots
+        concurrent = (
+            self.slow_start.limit * self.exchange.work_time.reported_ms / 1e3
+        )
+        return max(1, min(self.queue.slots, round(concurrent)))
+
     def pressure(self) -> pressure.Pressure:
         """Returns the overload of the target and of the services it calls."""
         local: pressure.Pressure = {}
@@ -126,9 +225,9 @@
         Returns:
           Whether the change is large enough to be published at once.
         """
-        if not self.ready:
-            # The load of a target that is not ready is unknown and must not
-            # count as overload.
+        if not self.admits or self.is_evacuated:
+            # The load of a target that gets no requests is unknown and must
+            # not count as overload.
             self.gauge.level = 0.0
             return False
         before = self.gauge.level
@@ -215,12 +314,22 @@
         """
         if not self.ready:
             return "no_target"
+        if self.is_evacuated:
+            return "domain_evacuated"
+        if not self.reachable:
+            return "target_unreachable"
+        if self.slow_start.wait_ms(now):
+            return "target_cold"
         if job.opening.target_id != self.target_id:
             return "another_target"
         if job.expires_at - now < LATE_MS:
             return "too_late"
         return ""
 
+    def record_sent(self, now: float) -> None:
+        """Counts a request that is sent to the target."""
+        self.slow_start.record(now)
+
     def start(self, job: job_module.Job) -> None:
         """Sends a request that holds a slot to the target."""
         self.running[id(job)] = job
@@ -293,7 +402,10 @@
         reply, job.reply = job.reply, None
         if reply is None:
             return
-        after = self.queue.retry_after_ms()
+        after = max(
+            self.queue.retry_after_ms(),
+            self.slow_start.wait_ms(self.context.now),
+        )
         self.context.counts.add("guard_refusals", code)
         self.context.log.event(
             "refused_at_target" if at_target else "refused_by_guard",
--- a/src/currantcart/proxy/targets/target_exchange.py
+++ b/src/currantcart/proxy/targets/target_exchange.py
@@ -28,6 +28,12 @@
     ) -> None:
         """Replies that a request did not run and will not run."""
 
+    def mark_unreachable(self) -> None:
+        """Stops admission to a target that refuses connections."""
+
+    def record_sent(self, now: float) -> None:
+        """Counts a request that is sent to the target."""
+
     def load(self) -> dict[str, int]:
         """Returns the numbers of running and waiting requests and of slots."""
 
@@ -90,14 +96,18 @@
         self.hand_over(job, connection)
 
     def dial_failed(self, job: job_module.Job, reason: str) -> None:
-        """Refuses a request because no connection could be opened."""
+        """Refuses a request because no connection could be opened.
+
+        Nothing has reached the target, so another attempt is no retry.
+        """
+        self.slots.mark_unreachable()
         if job.reply is None:
             return
         self.context.log.event(
             "target_unreachable", id=job.opening.request_id, reason=reason
         )
         self.slots.free(job)
-        self.slots.refuse(job, "target_unreachable", at_target=True)
+        self.slots.refuse(job, "target_unreachable")
 
     def hand_over(
         self, job: job_module.Job, connection: pool.Connection
@@ -106,6 +116,7 @@
         opening, now = job.opening, self.context.now
         job.connection = connection
         job.handed_at = now
+        self.slots.record_sent(now)
         self.context.counts.observe("queue_seconds", now - job.arrived_at)
         parts = [
             f"{opening.method} {opening.path} HTTP/1.1\r\n".encode("latin-1"),
--- a/src/currantcart/proxy/targets/target_reports.py
+++ b/src/currantcart/proxy/targets/target_reports.py
@@ -152,7 +152,7 @@
             target_id=last.target_id,
             slot_count=last.slots,
             ready=True,
-            cold_ms=0.0,
+            cold_ms=last.cold_ms,
             born=last.born,
         )
         self.context.log.event(
--- a/src/currantcart/routing/picker.py
+++ b/src/currantcart/routing/picker.py
@@ -51,6 +51,7 @@
       reported_open: `open` when `busy` was reported.
       reported_at: Time of that report.
       cold_until: End of its warm-up.
+      closed_until: Time until which it refuses requests, as it has said.
       failure: Smoothed share of requests that it failed or shed.
       failure_at: Time as of which `failure` holds.
       pressure: Load of the target and of the services that it calls.
@@ -68,6 +69,7 @@
     reported_open: int = 0
     reported_at: float = 0.0
     cold_until: float = 0.0
+    closed_until: float = 0.0
     failure: float = 0.0
     failure_at: float = 0.0
     pressure: dict[str, float] = dataclasses.field(default_factory=dict)
@@ -186,7 +188,9 @@
         allowed = [
             target
             for target in targets
-            if target.ready and target.instance not in exclude
+            if target.ready
+            and target.closed_until <= now
+            and target.instance not in exclude
         ]
         known = [target.work_ms for target in allowed if target.work_ms]
         fastest_ms = min(known, default=0.0)
--- a/src/currantcart/store/counted.py
+++ b/src/currantcart/store/counted.py
@@ -43,6 +43,10 @@
         """Reads a key."""
         return await self.count("read", self.store.get(key))
 
+    async def read_range(self, prefix: str) -> leased.Range:
+        """Reads all keys with a prefix, in their latest state."""
+        return await self.count("read", self.store.read_range(prefix))
+
     async def list(self, prefix: str, *, stale: bool) -> list[leased.Item]:
         """Reads all keys with a prefix."""
         call = "list_stale" if stale else "list"
--- a/src/currantcart/store/leased.py
+++ b/src/currantcart/store/leased.py
@@ -57,6 +57,20 @@
     present: Item | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Range:
+    """Result of a read of all keys with a prefix.
+
+    Attributes:
+      items: The items, ordered by key.
+      as_of: Revision of the store at the time of the read; 0 if the store did
+        not report it.
+    """
+
+    items: list[Item]
+    as_of: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Changes:
     """Result of a watch.
@@ -88,6 +102,9 @@
     async def get(self, key: str) -> Item | None:
         """Reads the latest value of a key; None if it does not exist."""
 
+    async def read_range(self, prefix: str) -> Range:
+        """Reads all keys with a prefix, in their latest state."""
+
     async def list(self, prefix: str, *, stale: bool) -> list[Item]:
         """Reads all keys with a prefix.
 
--- a/src/currantcart/telemetry/counts.py
+++ b/src/currantcart/telemetry/counts.py
@@ -163,6 +163,7 @@
 GAUGES = {
     "config_version": "Configuration version in force",
     "config_age_seconds": "Age of the proof that it is the newest",
+    "domains_evacuated": "Failure domains whose targets get no requests",
     "peers": "Peers known",
     "peers_silent_ratio": "Part of the fleet that is not heard",
     "calls": "Requests on their way",
--- a/tests/fakes/leased.py
+++ b/tests/fakes/leased.py
@@ -31,6 +31,7 @@
       writes: Number of calls that write.
       calls: Number of calls by node and kind.
       leases: Leases that have not ended.
+      removed: Revision at which the operator has removed a key, by key.
       numbers: Source of revisions and lease ids.
     """
 
@@ -50,6 +51,7 @@
         default_factory=collections.Counter
     )
     leases: set[int] = dataclasses.field(default_factory=set)
+    removed: dict[str, int] = dataclasses.field(default_factory=dict)
     numbers: itertools.count[int] = dataclasses.field(
         default_factory=lambda: itertools.count(1)
     )
@@ -78,9 +80,10 @@
 
     @property
     def revision(self) -> int:
-        """Newest revision of the items."""
+        """Newest revision of the items, removed ones included."""
         return max(
-            (held[0].revision for held in self.items.values()), default=0
+            [0, *self.removed.values()]
+            + [held[0].revision for held in self.items.values()]
         )
 
     def operate(self, key: str, value: bytes) -> None:
@@ -88,6 +91,11 @@
         item = leased.Item(key, value, next(self.numbers))
         self.items[key] = (item, 0)
 
+    def remove(self, key: str) -> None:
+        """Removes a key, as the operator does."""
+        del self.items[key]
+        self.removed[key] = next(self.numbers)
+
     def lapse(self) -> None:
         """Expires all leases and deletes their keys."""
         self.leases.clear()
@@ -103,6 +111,16 @@
             return None
         return dataclasses.replace(held[0], as_of=self.revision)
 
+    async def read_range(self, prefix: str) -> leased.Range:
+        self.reads += 1
+        await self.meet_faults("get")
+        items = [
+            held[0]
+            for key, held in sorted(self.items.items())
+            if key.startswith(prefix)
+        ]
+        return leased.Range(items, self.revision)
+
     async def list(self, prefix: str, *, stale: bool) -> list[leased.Item]:
         self.reads += 1
         await self.meet_faults("list_stale" if stale else "list")
@@ -122,9 +140,13 @@
         if after < self.compacted:
             raise leased.HistoryLost("compacted", peer="store")
         for _ in range(round(wait_ms / WATCH_STEP_MS)):
+            changed = {
+                key: held[0].revision for key, held in self.items.items()
+            }
+            changed.update(self.removed)
             if any(
-                key.startswith(prefix) and held[0].revision > after
-                for key, held in self.items.items()
+                key.startswith(prefix) and revision > after
+                for key, revision in changed.items()
             ):
                 return leased.Changes(any=True, as_of=self.revision)
             await asyncio.sleep(WATCH_STEP_MS / 1_000)
--- a/tests/fakes/mesh.py
+++ b/tests/fakes/mesh.py
@@ -18,6 +18,7 @@
 from currantcart.proxy import context as proxy_context
 from currantcart.proxy import header_names, node
 from currantcart.proxy import settings as proxy_settings
+from currantcart.proxy.streams import config_feed
 from currantcart.telemetry import decisions
 from tests.fakes import leased
 from tests.fakes import loop as fake_loop
@@ -29,7 +30,11 @@
 WALL_MS = 1_700_000_000_000.0
 
 DEPLOYMENT = node.Deployment(
-    config_key=names.CONFIG_KEY,
+    operator_keys=config_feed.OperatorKeys(
+        prefix=names.OPERATOR_PREFIX,
+        config=names.CONFIG_KEY,
+        evacuations=names.EVACUATIONS_PREFIX,
+    ),
     nodes_prefix=names.NODES_PREFIX,
     readiness_path=names.READINESS_PATH,
     parse_config=config.parse,
@@ -65,6 +70,7 @@
     keys: tuple[str, ...] = (KEY,),
     rate: float = 0.0,
     burst: float = 0.0,
+    cold_rate: float = 0.0,
 ) -> bytes:
     """Returns an operator's configuration."""
     if routes is None:
@@ -78,8 +84,11 @@
             "version": version,
             "routes": {"columns": ROUTE_COLUMNS, "rows": routes},
             "services": {
-                "columns": ["name", "health-path", "max-connections"],
-                "rows": [["grades", "/health", 100]],
+                "columns": [
+                    "name", "health-path", "max-connections", "cold-start-s",
+                    "cold-per-s",
+                ],
+                "rows": [["grades", "/health", 100, 3.0, cold_rate]],
             },
             "tenants": {
                 "columns": [
@@ -331,6 +340,7 @@
         state: str = "ready",
         slots: int = 20,
         sequence: int | None = None,
+        cold: float = 0.0,
     ) -> int:
         """Sends a target's report to its node and returns the HTTP status."""
         if sequence is None:
@@ -344,7 +354,7 @@
                 "version": "v1",
                 "slots": slots,
                 "state": state,
-                "cold-remaining-s": 0,
+                "cold-remaining-s": cold,
                 "sequence": sequence,
                 "born": place.born,
             }
--- a/tests/proxy/streams/test_config.py
+++ b/tests/proxy/streams/test_config.py
@@ -66,8 +66,8 @@
 class UnavailableStore(leased.FakeLeasedStore):
     """A store that is unavailable to one node."""
 
-    async def get(self, key: str) -> store_port.Item | None:
-        raise port.StoreUnavailable(key, peer="store")
+    async def read_range(self, prefix: str) -> store_port.Range:
+        raise port.StoreUnavailable(prefix, peer="store")
 
 
 async def test_a_node_that_the_store_refuses_gets_versions_from_its_peers(
--- /dev/null
+++ b/tests/proxy/targets/test_cold_targets.py
@@ -0,0 +1,218 @@
+"""Targets that are cold, restart, or refuse connections."""
+
+from __future__ import annotations
+
+import asyncio
+
+from bench.standins import http_target
+from currantcart.platform import names
+from currantcart.proxy import settings as proxy_settings
+from tests.fakes import mesh as fake_mesh
+
+RATE = 6.5
+BOUND = RATE * 1.5 + 8.0
+
+
+def configure(mesh: fake_mesh.Mesh) -> None:
+    """Declares what a cold target bears."""
+    mesh.store.operate(names.CONFIG_KEY, fake_mesh.document(2, cold_rate=RATE))
+
+
+def most_in_a_second(arrivals: list[float]) -> int:
+    """Returns the most arrivals in any one second."""
+    return max(
+        (
+            sum(first <= at < first + 1.0 for at in arrivals)
+            for first in arrivals
+        ),
+        default=0,
+    )
+
+
+class Load:
+    """Callers that send requests at a steady rate to all nodes.
+
+    Attributes:
+      statuses: Statuses of the responses.
+    """
+
+    def __init__(self, mesh: fake_mesh.Mesh) -> None:
+        self.mesh = mesh
+        self.statuses: list[int] = []
+        self.tasks: list[asyncio.Task[None]] = []
+
+    async def one(self, place: fake_mesh.Place, number: int) -> None:
+        data = fake_mesh.request(request_id=f"l{number}", deadline=2_000)
+        self.statuses.append((await self.mesh.ask(place, data)).status)
+
+    async def run(self, *, per_second: float, seconds: float) -> None:
+        places = list(self.mesh.places.values())
+        for number in range(round(per_second * seconds)):
+            place = places[number % len(places)]
+            self.tasks.append(
+                self.mesh.loop.create_task(self.one(place, number))
+            )
+            await asyncio.sleep(1 / per_second)
+        await asyncio.gather(*self.tasks)
+        self.tasks.clear()
+
+
+def record_arrivals(
+    mesh: fake_mesh.Mesh, place: fake_mesh.Place
+) -> list[float]:
+    """Returns the times of the requests that a target gets from now on."""
+    arrivals: list[float] = []
+
+    def note(seen: http_target.Seen) -> None:
+        del seen
+        arrivals.append(mesh.loop.time())
+
+    place.target.on_run = note
+    return arrivals
+
+
+async def test_all_nodes_together_stay_within_a_cold_targets_bound(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """One target of a service has just started; the others are warm and full.
+
+    18 requests of 0.5 s at each of four targets are 144 requests per second.
+    """
+    configure(mesh)
+    for number in range(4):
+        warm = await mesh.add(f"n{number}")
+        warm.target.work_seconds = 0.5
+    await mesh.settle(2.0)
+    fresh = await mesh.add("n9", report=False)
+    arrivals = record_arrivals(mesh, fresh)
+    await mesh.report(fresh, cold=3.0)
+    load = Load(mesh)
+    await load.run(per_second=200, seconds=2.5)
+    assert load.statuses.count(200) >= 144 * 2.5
+    assert RATE <= most_in_a_second(arrivals) <= BOUND
+
+
+async def test_a_service_whose_targets_are_all_cold_serves_what_they_bear(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """All targets start under load; what exceeds their bound is refused."""
+    configure(mesh)
+    for number in range(3):
+        await mesh.add(f"n{number}", report=False)
+    await mesh.settle(2.0)
+    arrivals = []
+    for place in mesh.places.values():
+        arrivals.append(record_arrivals(mesh, place))
+        await mesh.report(place, cold=3.0)
+    load = Load(mesh)
+    await load.run(per_second=200, seconds=2.5)
+    for seen in arrivals:
+        assert RATE <= most_in_a_second(seen) <= BOUND
+    assert set(load.statuses) == {200, 503}
+
+
+async def test_a_domain_that_is_restored_is_cold_until_its_targets_report(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """Targets of an evacuated domain may cool down without a restart."""
+    configure(mesh)
+    await mesh.add("a1", domain="a")
+    await mesh.add("b1", domain="b")
+    await mesh.settle(2.0)
+    key = names.EVACUATIONS_PREFIX + "a"
+    mesh.store.operate(key, b"{}")
+    await mesh.settle(2.0)
+    arrivals = record_arrivals(mesh, mesh.places["a1"])
+    mesh.store.remove(key)
+    await Load(mesh).run(per_second=150, seconds=1.5)
+    assert 0 < most_in_a_second(arrivals) <= BOUND
+    await mesh.report(mesh.places["a1"])
+    await Load(mesh).run(per_second=150, seconds=1.5)
+    assert most_in_a_second(arrivals) > BOUND
+
+
+async def test_a_restarted_node_keeps_the_bound_of_its_cold_target(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    configure(mesh)
+    place = await mesh.add("a", report=False)
+    await mesh.add("b", service="other")
+    await mesh.settle(2.0)
+    arrivals = record_arrivals(mesh, place)
+    await mesh.report(place, cold=3.0)
+    load = Load(mesh)
+    task = mesh.loop.create_task(load.run(per_second=100, seconds=2.5))
+    await mesh.settle(0.6)
+    await mesh.restart(place)
+    await task
+    assert 0 < most_in_a_second(arrivals) <= BOUND
+
+
+async def test_a_target_that_refuses_connections_gets_nothing_placed(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """A target crashes: its guard's connections are refused.
+
+    Until its next report it stayed ready, and each request to it spent a retry
+    of the shared budget, although nothing had reached it.
+    """
+    configure(mesh)
+    crashed = await mesh.add("a")
+    for name in "bc":
+        await mesh.add(name)
+    await mesh.settle(fake_mesh.SHARING_SECONDS)
+    stop_target(mesh, crashed)
+    load = Load(mesh)
+    await load.run(per_second=100, seconds=2.0)
+    assert load.statuses.count(200) >= len(load.statuses) - 2
+    refused = [
+        line for line in mesh.lines if "event=target_unreachable" in line
+    ]
+    assert len(refused) <= 10
+    assert not any(
+        "event=tried_again" in line and "target_unreachable" in line
+        for line in mesh.lines
+    )
+
+
+async def test_a_target_that_is_back_is_cold_until_it_reports(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """It crashed under its load; the same load at once would crash it again."""
+    configure(mesh)
+    crashed = await mesh.add("a")
+    await mesh.add("b", service="other")
+    await mesh.settle(2.0)
+    stop_target(mesh, crashed)
+    await Load(mesh).run(per_second=100, seconds=1.0)
+    arrivals = record_arrivals(mesh, crashed)
+    await start_target(mesh, crashed)
+    await Load(mesh).run(per_second=100, seconds=1.5)
+    assert 0 < most_in_a_second(arrivals) <= BOUND
+
+
+async def test_a_target_that_left_is_not_probed(mesh: fake_mesh.Mesh) -> None:
+    place = await mesh.add("a")
+    await mesh.settle(1.0)
+    stop_target(mesh, place)
+    await mesh.ask(place, fake_mesh.request())
+    await mesh.deregister(place)
+    await mesh.settle(0.5)
+    dials = place.node.guard.exchange.pool.dialling
+    await mesh.settle(0.5)
+    assert not dials
+
+
+def stop_target(mesh: fake_mesh.Mesh, place: fake_mesh.Place) -> None:
+    """Ends a target's process: its connections and its port are closed."""
+    host, port = proxy_settings.split_address(place.settings.target)
+    mesh.loop.ports.pop((host, port))
+    for connection in place.target.connections:
+        if connection.transport is not None:
+            connection.transport.abort()
+
+
+async def start_target(mesh: fake_mesh.Mesh, place: fake_mesh.Place) -> None:
+    """Starts a target's process again."""
+    host, port = proxy_settings.split_address(place.settings.target)
+    await mesh.loop.create_server(place.target.accept, host, port)
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -11,10 +11,14 @@
 import sys
 import tomllib
 
+import pytest
+
 from bench import node_requirements
 from currantcart.proxy import settings as proxy_settings
 
 DEPLOY = pathlib.Path(__file__).parents[1] / "deploy"
+SECTION = re.compile(r"\{\{#([\w.-]+)\}\}(.*?)\{\{/\1\}\}", re.DOTALL)
+"""Part that is rendered if the platform has a value, with its placeholder."""
 TEXT = re.compile(r"\{\{[^}]*\|json\}\}")
 
 
@@ -25,8 +29,10 @@
         assert f"{name}==" in node_requirements.TARGET.read_text()
 
 
-def test_the_template_renders_valid_settings() -> None:
+@pytest.mark.parametrize("has_cold_bounds", [True, False])
+def test_the_template_renders_valid_settings(*, has_cold_bounds: bool) -> None:
     text = (DEPLOY / "settings.json").read_text()
+    text = SECTION.sub(r"\2" if has_cold_bounds else "", text)
 
     def fill(found: re.Match[str]) -> str:
         placeholder = found.group()
@@ -48,6 +54,9 @@
     settings = proxy_settings.parse(text.encode(), source="template")
     assert settings.listen.peers == "10.0.0.1:7000"
     assert settings.bounds.revoke_seconds == 2.5
+    default = proxy_settings.Bounds().cold_slack
+    cold_slack = 2.5 if has_cold_bounds else default
+    assert settings.bounds.cold_slack == cold_slack
     assert settings.descriptors == 4_100
 
 
