Evacuate and restore failure domains in the product's own configuration

Cause: evacuating a failure domain is a feature of the product, not only of the platform's adapter.

Change: `domain evacuate NAME`, `restore NAME` and `list`. The evacuated domains are a field of the configuration document, not keys of their own: edits keep their one total order and their history, and nodes need no further watch. The router leaves the targets out, the guard refuses what a node without the news sends (not run, it goes elsewhere) and what waits; restored targets warm up again. Shown in each node's status, a gauge and one log line a change.

--- a/src/currantcart/cli/fleet.py
+++ b/src/currantcart/cli/fleet.py
@@ -89,6 +89,21 @@
     return missing
 
 
+async def confirm_in_force(address: str, revision: int) -> None:
+    """Waits until all members have applied a revision.
+
+    Raises:
+      errors.CurrantcartError: Some have not confirmed it in time.
+    """
+    missing = await wait_in_force(address, revision)
+    if missing:
+        raise errors.CurrantcartError(
+            errors.Code.PEER_UNREACHABLE,
+            errors.Step.COMMAND,
+            f"accepted, but not confirmed by {', '.join(missing)}",
+        )
+
+
 class StatusCommand(base.BaseCommand):
     """Shows the state of all members of the fleet."""
 
--- a/src/currantcart/cli/workspaces.py
+++ b/src/currantcart/cli/workspaces.py
@@ -12,7 +12,6 @@
 from cleo.io.inputs.argument import Argument
 from cleo.io.inputs.option import Option
 
-from currantcart import errors
 from currantcart.cli import base, fleet, output
 from currantcart.config import changes, document
 from currantcart.settings import jsonc
@@ -149,13 +148,7 @@
         if not (self.option("admin") or os.environ.get(base.ADMIN_VARIABLE)):
             return 0
         address = self.address("admin", base.ADMIN_VARIABLE)
-        missing = asyncio.run(fleet.wait_in_force(address, accepted.revision))
-        if missing:
-            raise errors.CurrantcartError(
-                errors.Code.PEER_UNREACHABLE,
-                errors.Step.COMMAND,
-                f"accepted, but not confirmed by {', '.join(missing)}",
-            )
+        asyncio.run(fleet.confirm_in_force(address, accepted.revision))
         output.result(self, "in force everywhere", in_force=True)
         return 0
 
--- a/src/currantcart/config/changes.py
+++ b/src/currantcart/config/changes.py
@@ -121,6 +121,40 @@
     return change
 
 
+def evacuate_domain(name: str) -> edits.Change:
+    """Returns a change that evacuates a failure domain."""
+
+    def change(current: document.Document) -> edits.Changed:
+        if name in current.evacuated:
+            raise refuse(
+                f"failure domain {name} is evacuated already",
+                code=errors.Code.EDIT_CONFLICT,
+            )
+        return edits.Changed(
+            {"evacuated": sorted([*current.evacuated, name])},
+            f"failure domain {name}: evacuated",
+        )
+
+    return change
+
+
+def restore_domain(name: str) -> edits.Change:
+    """Returns a change that ends the evacuation of a failure domain."""
+
+    def change(current: document.Document) -> edits.Changed:
+        if name not in current.evacuated:
+            raise refuse(
+                f"failure domain {name} is not evacuated",
+                code=errors.Code.NOT_FOUND,
+            )
+        rest = [other for other in current.evacuated if other != name]
+        return edits.Changed(
+            {"evacuated": rest}, f"failure domain {name}: restored"
+        )
+
+    return change
+
+
 def find_undoable(
     current: document.Document, revision: int
 ) -> document.EditRecord:
--- a/src/currantcart/config/document.py
+++ b/src/currantcart/config/document.py
@@ -68,6 +68,7 @@
       services: Content of the services text.
       workspaces: Workspaces by name.
       keys: API keys by key id.
+      evacuated: Failure domains whose targets get no calls, sorted.
       history: Most recent edits, oldest first.
     """
 
@@ -77,6 +78,7 @@
     )
     workspaces: dict[settings_model.Name, WorkspaceText] = {}
     keys: dict[str, KeyText] = {}
+    evacuated: list[settings_model.Name] = []
     history: list[EditRecord] = []
 
 
--- a/src/currantcart/config/view.py
+++ b/src/currantcart/config/view.py
@@ -21,6 +21,7 @@
       workspaces: Workspaces by name.
       keys_by_digest: API keys by the digest of the key that a caller sends.
       key_ids: Ids of the valid keys.
+      evacuated: Failure domains whose targets get no calls.
       text: Encoded document, for peers that fetch it.
     """
 
@@ -29,6 +30,7 @@
     workspaces: dict[str, workspace_model.Workspace]
     keys_by_digest: dict[str, workspace_model.Key]
     key_ids: frozenset[str]
+    evacuated: frozenset[str]
     text: bytes
 
 
@@ -63,6 +65,7 @@
         workspaces=workspaces,
         keys_by_digest=keys,
         key_ids=frozenset(key.key_id for key in keys.values()),
+        evacuated=frozenset(parsed.evacuated),
         text=text,
     )
 
--- a/src/currantcart/node/admin.py
+++ b/src/currantcart/node/admin.py
@@ -20,6 +20,7 @@
     members: table.MemberTable
     distributor: distribute.Distributor
     gossip: gossip.Gossip
+    evacuated: frozenset[str]
 
     def is_ready(self) -> bool:
         """Returns whether the node is ready to serve calls."""
@@ -34,6 +35,7 @@
         "instance": context.instance,
         "draining": context.draining,
         "revision": context.config.revision,
+        "evacuated": sorted(node.evacuated),
         "service": context.settings.target.service,
         "running": admission.running,
         "waiting": admission.queue.size,
--- a/src/currantcart/node/app.py
+++ b/src/currantcart/node/app.py
@@ -38,6 +38,7 @@
       context: Shared state.
       guard: Controls all access to the target.
       members: The member table.
+      evacuated: Failure domains whose targets get no calls.
       stopping: Set when a shutdown was requested.
       stop_now: Set when it was requested again, which ends the draining.
     """
@@ -94,6 +95,7 @@
             restart_seconds=RESTART_SECONDS,
             on_failure=self.background_failed,
         )
+        self.evacuated: frozenset[str] = frozenset()
         self.peers_server: asyncio.Server | None = None
         self.callers_server: asyncio.Server | None = None
         self.admin_runner = web.AppRunner(admin.build_app(self))
@@ -118,6 +120,11 @@
             "Configuration revision in force",
             lambda: self.context.config.revision,
         )
+        gauge(
+            "domains_evacuated",
+            "Failure domains whose targets get no calls",
+            lambda: len(self.evacuated),
+        )
         gauge(
             "members",
             "Members known",
@@ -178,11 +185,22 @@
         )
         self.members.record_revision(self.context.instance, view.revision)
         self.gossip.announce_revision()
+        if view.evacuated != self.evacuated:
+            self.context.logger.info(
+                "evacuations changed",
+                domains=",".join(sorted(view.evacuated)),
+                before=",".join(sorted(self.evacuated)),
+                revision=view.revision,
+            )
+            self.evacuated = view.evacuated
+            self.members_changed()
 
     def members_changed(self) -> None:
         """Updates the router with the current members."""
         self.context.router.update(
-            self.members.members(), self.context.clock.now()
+            self.members.members(),
+            self.context.clock.now(),
+            evacuated=self.evacuated,
         )
 
     def is_ready(self) -> bool:
--- a/src/currantcart/node/arrival.py
+++ b/src/currantcart/node/arrival.py
@@ -71,19 +71,20 @@
             f"this target serves {settings.target.service}",
             not_run=True,
         )
-    return check_key(context, opening)
+    return check_view(context, opening)
 
 
-def check_key(
+def check_view(
     context: node_context.NodeContext, opening: messages.Open
 ) -> errors.Refusal | None:
-    """Checks that the key of the root call is valid in this node's view.
+    """Checks a call by the configuration in force at this node.
 
-    The node that accepted the call may not have received a withdrawal yet, or
-    this node may have received it while the call waited in the queue.
+    The node that accepted the call may not have received a withdrawal of its
+    key or an evacuation of this failure domain yet, or this node may have
+    received it while the call waited in the queue.
 
     Returns:
-      The refusal, or None if the key is valid.
+      The refusal, or None if the call may run.
     """
     view = context.config.view
     if view is None:
@@ -94,6 +95,14 @@
             not_run=True,
             retry_after_ms=controller.RETRY_AFTER_MS_MIN,
         )
+    if context.settings.failure_domain in view.evacuated:
+        return incoming_module.refusal(
+            errors.Code.NO_TARGET,
+            errors.Step.ADMIT,
+            "the failure domain of this target is evacuated",
+            not_run=True,
+            retry_after_ms=controller.RETRY_AFTER_MS_MIN,
+        )
     if opening.key_id in view.key_ids:
         return None
     return incoming_module.refusal(
--- a/src/currantcart/node/guard.py
+++ b/src/currantcart/node/guard.py
@@ -200,12 +200,12 @@
                     )
 
     def start_waiting(self, incoming: incoming_module.Incoming) -> bool:
-        """Starts a queued call, unless its key was withdrawn meanwhile.
+        """Starts a queued call, unless the configuration rules it out now.
 
         Returns:
           Whether the call was started.
         """
-        refusal = arrival.check_key(self.context, incoming.opening)
+        refusal = arrival.check_view(self.context, incoming.opening)
         if refusal is not None:
             self.refuse(incoming, refusal)
             return False
--- a/src/currantcart/routing/router.py
+++ b/src/currantcart/routing/router.py
@@ -79,14 +79,27 @@
     def __init__(self, *, locality: Locality, rng: random.Random) -> None:
         self.locality = locality
         self.rng = rng
+        self.evacuated: frozenset[str] = frozenset()
         self.candidates: dict[str, Candidate] = {}
         self.services: dict[str, list[Candidate]] = {}
 
     def update(
-        self, members: Collection[membership_model.Member], now: float
+        self,
+        members: Collection[membership_model.Member],
+        now: float,
+        *,
+        evacuated: Collection[str] = (),
     ) -> None:
-        """Replaces the members; keeps the state of targets that remain."""
+        """Replaces the members; keeps the state of targets that remain.
+
+        Args:
+          members: The members.
+          now: Milliseconds of the node's clock.
+          evacuated: Failure domains whose targets get no calls.
+        """
         known = self.candidates
+        restored = self.evacuated - frozenset(evacuated)
+        self.evacuated = frozenset(evacuated)
         self.candidates = {}
         self.services = {}
         suspects: list[Candidate] = []
@@ -94,9 +107,12 @@
             candidate = known.get(member.instance)
             if candidate is None or candidate.member.started != member.started:
                 candidate = Candidate(member, now)
+            if member.failure_domain in restored:
+                # Its target has had no calls and warms up as a new one does.
+                candidate.seen_ms = now
             candidate.member = member
             self.candidates[member.instance] = candidate
-            if member.slots == 0:
+            if member.slots == 0 or member.failure_domain in evacuated:
                 continue
             if member.status is membership_model.Status.ALIVE:
                 self.services.setdefault(member.service, []).append(candidate)
--- a/src/currantcart/run.py
+++ b/src/currantcart/run.py
@@ -11,6 +11,7 @@
 from currantcart import errors
 from currantcart.cli import (
     base,
+    domains,
     fleet,
     logs,
     node,
@@ -36,6 +37,9 @@
     workspaces.KeyGiveCommand,
     workspaces.KeyWithdrawCommand,
     workspaces.KeyListCommand,
+    domains.DomainEvacuateCommand,
+    domains.DomainRestoreCommand,
+    domains.DomainListCommand,
     fleet.StatusCommand,
     fleet.ExplainCommand,
     logs.IncidentCommand,
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -64,6 +64,10 @@
         "1", "2", "3", "4", "5",
     ]  # fmt: skip
     assert "permits" in command("services show")["services"]
+    command("domain evacuate dar-a")
+    assert command("domain list") == [{"evacuated": "dar-a"}]
+    command("domain restore dar-a")
+    assert command("domain list") == []
 
 
 @pytest.mark.parametrize(
@@ -77,6 +81,7 @@
         (["key", "give", "none"], 1),
         (["services", "check", "/none.jsonc"], 1),
         (["status", "--admin", "127.0.0.1:9"], 1),
+        (["domain", "evacuate", "no name"], 2),
     ],
 )
 def test_error_is_one_clear_line_with_a_status(
--- a/tests/proof/test_promises.py
+++ b/tests/proof/test_promises.py
@@ -222,7 +222,7 @@
 
 def leave_without_announcement(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(gossip.Gossip, "announce", lambda self: None)
-    patch.setattr(arrival, "precheck", arrival.check_key)
+    patch.setattr(arrival, "precheck", arrival.check_view)
 
 
 async def upload_over_a_shutdown(world: World) -> list[str]:
