Work out the limits of streams once a tick, and the local load once a call

Played in memory, a third of what idle nodes cost went into the tick: the limits of silence were worked out for each stream, streams dialled by peers were checked twice, the rank and the silent share went through all peers with calls for each, and each request to the own target worked out the whole state of it, pressure included.

Change: Limits of all streams once a tick, each stream checked once, the rank only when a read may be due, the share without a look-up while no probe runs. A request to the own target updates its load; the rest is as of the last tick, or at once when the target or its readiness has changed.

Tests: tests/proxy, admission, routing and workspace pass; test_link gives check() the limits it worked out itself before.

--- a/src/currantcart/proxy/requests/outbound.py
+++ b/src/currantcart/proxy/requests/outbound.py
@@ -144,7 +144,7 @@
         assert self.peers is not None
         now = self.context.now
         if call.service == self.peers.local_target.service:
-            self.refresh_local_target()
+            self.refresh_local_load(now)
         targets = self.peers.reachability.candidates(call.service)
         chosen = self.picker.choose(
             targets,
@@ -177,6 +177,21 @@
         assert self.peers is not None
         self.peers.update_target(self.peers.local_target, self.guard.state())
 
+    def refresh_local_load(self, now: float) -> None:
+        """Updates what changes with each request at the local target.
+
+        The rest, which costs more to work out, is as of the last tick.
+        """
+        assert self.peers is not None
+        target = self.peers.local_target
+        known = (target.target_id, target.ready)
+        if known != (self.guard.target_id, self.guard.is_open):
+            self.refresh_local_target()
+        else:
+            target.update_load(
+                busy=self.guard.busy, limit=self.guard.limit(), now=now
+            )
+
     # Results.
 
     def answered(
--- a/src/currantcart/proxy/streams/config_feed.py
+++ b/src/currantcart/proxy/streams/config_feed.py
@@ -94,6 +94,8 @@
         """Returns whether this node is due to read from the store."""
         assert self.peers is not None
         known = self.context.freshness
+        if self.context.now - self.last_poll < freshness.FIRST_POLL_MS:
+            return False
         if known.version:
             return freshness.poll_due(
                 now=self.context.now,
--- a/src/currantcart/proxy/streams/link.py
+++ b/src/currantcart/proxy/streams/link.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import itertools
 from typing import Protocol, cast
 
@@ -63,6 +64,24 @@
     return max(SILENT_MS, PROBE_TIMEOUT_INTERVALS * interval_ms)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """Limits at which streams are closed.
+
+    Attributes:
+      silent_ms: Silence of a stream.
+      probe_ms: Time without an answer to a probe.
+    """
+
+    silent_ms: float
+    probe_ms: float
+
+    @classmethod
+    def of(cls, interval_ms: float) -> Limits:
+        """Returns the limits for a status interval."""
+        return cls(silent_ms(interval_ms), probe_timeout_ms(interval_ms))
+
+
 class LinkOwner(Protocol):
     """Callbacks of a link to the node that owns it."""
 
@@ -360,14 +379,18 @@
             and now - self.echoed_at < limit + self.context.status_interval_ms
         )
 
-    def check(self, now: float) -> None:
-        """Closes the stream if it is silent or a probe has timed out."""
-        interval_ms = self.context.status_interval_ms
-        silent = now - self.received_at > silent_ms(interval_ms)
-        unanswered = bool(
-            self.probed_at
-        ) and now - self.probed_at > probe_timeout_ms(interval_ms)
-        if self.transport is not None and (silent or unanswered):
+    def check(self, now: float, limits: Limits) -> None:
+        """Closes the stream if it is silent or a probe has timed out.
+
+        Args:
+          now: Milliseconds of the node's clock.
+          limits: Limits of all streams, worked out once for all of them.
+        """
+        silent = now - self.received_at > limits.silent_ms
+        unanswered = (
+            self.probed_at > 0.0 and now - self.probed_at > limits.probe_ms
+        )
+        if (silent or unanswered) and self.transport is not None:
             self.abort("silent")
 
     def abort(self, reason: str) -> None:
--- a/src/currantcart/proxy/streams/peers.py
+++ b/src/currantcart/proxy/streams/peers.py
@@ -201,8 +201,10 @@
         own = self.member
         ahead = 0
         sizes: collections.Counter[str] = collections.Counter()
+        limit = link.silent_ms(self.context.status_interval_ms)
+        alive_after = self.context.now - limit
         for name, peer in self.by_instance.items():
-            if not self.is_alive(peer):
+            if peer.received_at <= alive_after:
                 continue
             domain = peer.member.failure_domain
             if domain != own.failure_domain:
@@ -382,18 +384,20 @@
     def tick(self) -> None:
         """Sends what is due, and probes, closes or dials streams."""
         now = self.context.now
+        limits = link.Limits.of(self.context.status_interval_ms)
         for peer in list(self.by_instance.values()):
-            for item in peer.links():
-                item.check(now)
             outgoing = peer.outgoing
-            if outgoing is not None and outgoing.peer:
+            if outgoing is None:
+                if now >= peer.dial_after:
+                    self.dial(peer)
+                continue
+            outgoing.check(now, limits)
+            if outgoing.peer:
                 if outgoing.is_probe_due(now):
                     outgoing.send_status(self.status(outgoing))
                 outgoing.log_unresponsive(now)
-            if peer.outgoing is None and now >= peer.dial_after:
-                self.dial(peer)
         for item in list(self.accepted):
-            item.check(now)
+            item.check(now, limits)
         self.publisher.tick(now)
 
     def close(self) -> None:
--- a/src/currantcart/proxy/streams/silence.py
+++ b/src/currantcart/proxy/streams/silence.py
@@ -150,16 +150,17 @@
         oldest = self.context.now - link.suspect_ms(
             self.context.status_interval_ms
         )
-        silent = sum(
-            peer.received_at < oldest or self.missed_probe(peer)
-            for peer in live_peers
-        )
-        return silent / (len(live_peers) + 1)
+        silent = [peer for peer in live_peers if peer.received_at < oldest]
+        if self.domains:
+            silent += [
+                peer
+                for peer in live_peers
+                if peer.received_at >= oldest and self.missed_probe(peer)
+            ]
+        return len(silent) / (len(live_peers) + 1)
 
     def missed_probe(self, peer: peer_module.Peer) -> bool:
         """Returns whether a peer or its failure domain missed a probe."""
-        if not self.domains:
-            return False
         domain = self.domains.get(peer.member.failure_domain)
         process = self.processes.get(peer.member.process)
         return any(probe and probe.has_timed_out for probe in (domain, process))
--- a/src/currantcart/proxy/targets/guard.py
+++ b/src/currantcart/proxy/targets/guard.py
@@ -176,7 +176,7 @@
         """Returns the target's state as published to peers."""
         return frames.TargetState(
             target_id=self.target_id,
-            ready=self.admits and not self.context.leaving,
+            ready=self.is_open,
             limit=self.limit(),
             busy=self.busy,
             cold_ms=math.ceil(
@@ -193,6 +193,11 @@
         """Whether the target accepts requests and connections."""
         return self.ready and self.reachable
 
+    @property
+    def is_open(self) -> bool:
+        """Whether peers may place requests on the target."""
+        return self.admits and not self.context.leaving
+
     @property
     def is_evacuated(self) -> bool:
         """Whether the target's failure domain is evacuated."""
--- a/tests/proxy/streams/test_link.py
+++ b/tests/proxy/streams/test_link.py
@@ -28,7 +28,7 @@
     item = await stream(mesh)
     now = item.context.now
     item.received_at = item.probed_at = now - 2_300.0
-    item.check(now)
+    item.check(now, link.Limits.of(PACE_MS))
     assert item.transport is None
 
 
@@ -39,7 +39,7 @@
     item = await stream(mesh)
     item.received_at = item.context.now - heard_ago
     item.probed_at = asked
-    item.check(item.context.now)
+    item.check(item.context.now, link.Limits.of(PACE_MS))
     assert item.transport is not None
 
 
