--- a/src/currantcart/proxy/statuses.py
+++ b/src/currantcart/proxy/statuses.py
@@ -13,6 +13,8 @@
 from currantcart.proxy.targets import guard
 from currantcart.workspace import quota
 
+STATE_CACHE_MS = 10.0
+
 
 def floor_ms(milliseconds: float) -> float:
     """Returns a time rounded down, because fractions compress poorly."""
@@ -55,6 +57,9 @@
         self.on_status = on_status
         self.on_target_left = on_target_left
         self.peers: peers_module.Peers | None = None
+        self.state = local_guard.state()
+        self.state_of = local_guard.life_cycle()
+        self.state_at = context.now
 
     def status_for(self, item: link.Link) -> frames.Status:
         """Returns the status to send on a stream."""
@@ -67,7 +72,7 @@
             held_ms=floor_ms(now - item.status_at),
             version=known.version,
             as_of_ms=floor_ms(known.as_of),
-            target=self.guard.state(),
+            target=self.target_state(now),
             counts=item.unpublished(self.quotas.counts()),
             left=self.peers.leaving_targets.get(item.peer.instance)
             if item.peer
@@ -75,6 +80,17 @@
             evacuations=self.feed.evacuations.unsent(item),
         )
 
+    def target_state(self, now: float) -> frames.TargetState:
+        """Returns the target's state; one serves a whole round of statuses.
+
+        Working it out for each peer costs more than encoding the status.
+        """
+        life_cycle = self.guard.life_cycle()
+        if now - self.state_at >= STATE_CACHE_MS or life_cycle != self.state_of:
+            self.state = self.guard.state()
+            self.state_of, self.state_at = life_cycle, now
+        return self.state
+
     def apply_status(
         self, peer: peer_module.Peer, item: link.Link, status: frames.Status
     ) -> None:
--- a/src/currantcart/proxy/targets/guard.py
+++ b/src/currantcart/proxy/targets/guard.py
@@ -204,6 +204,14 @@
         own = self.context.settings.failure_domain
         return own in self.context.evacuations.domains
 
+    def life_cycle(self) -> tuple[str, int, bool, bool]:
+        """Returns what is published at once when it has changed.
+
+        These are the target's id and incarnation, whether it accepts requests
+        and whether peers may place on it.
+        """
+        return self.target_id, self.born, self.ready, self.is_open
+
     def limit(self) -> int:
         """Returns the requests that the target is given concurrently.
 
--- a/src/currantcart/telemetry/counts.py
+++ b/src/currantcart/telemetry/counts.py
@@ -1,24 +1,19 @@
-"""Counters, histograms and gauges of one node, exposed to Prometheus.
+"""Counters, histograms and gauges of one node.
 
-Recording a request costs a dictionary look-up and an addition. The metric
-families of the client library are built only when the metrics are scraped.
+Recording a request costs a dictionary look-up and an addition.
+`telemetry.exposition` renders them for Prometheus.
 """
 
 from __future__ import annotations
 
 import bisect
 import collections
-import itertools
-from collections.abc import Callable, Iterator
-
-import prometheus_client
-from prometheus_client import core, registry
+from collections.abc import Callable
 
 BUCKETS_MS = (
     1.0, 2.5, 5.0, 10.0, 25.0, 50.0, 100.0, 250.0, 500.0, 1_000.0, 2_500.0,
     5_000.0, 10_000.0,
 )  # fmt: skip
-MS = 1_000.0
 LABEL_SETS_MAX = 500
 
 Labels = tuple[str, ...]
@@ -67,62 +62,13 @@
         cells[bisect.bisect_left(BUCKETS_MS, milliseconds)] += 1
         cells[-1] += milliseconds
 
-    def collect(self) -> Iterator[core.Metric]:
-        """Yields the metric families of the client library."""
-        for name, (text, labels) in COUNTERS.items():
-            family = core.CounterMetricFamily(
-                f"currantcart_{name}", text, labels=labels
-            )
-            for values, count in self.counters[name].items():
-                family.add_metric(values, count)
-            yield family
-        for name, (text, labels) in HISTOGRAMS.items():
-            yield self.histogram(name, text, labels)
-        for name, read in self.gauges.items():
-            yield core.GaugeMetricFamily(
-                f"currantcart_{name}", GAUGES[name], value=read()
-            )
-        for name, read_all in self.service_gauges.items():
-            gauge = core.GaugeMetricFamily(
-                f"currantcart_{name}", SERVICE_GAUGES[name], labels=["service"]
-            )
-            for service, value in read_all().items():
-                gauge.add_metric([service], value)
-            yield gauge
-
-    def histogram(
-        self, name: str, text: str, labels: list[str]
-    ) -> core.HistogramMetricFamily:
-        """Returns the metric family of a histogram, in seconds."""
-        family = core.HistogramMetricFamily(
-            f"currantcart_{name}", text, labels=labels
-        )
-        bounds = [str(bound / MS) for bound in BUCKETS_MS] + ["+Inf"]
-        for values, cells in self.histograms[name].items():
-            sums = itertools.accumulate(cells[:-1])
-            family.add_metric(
-                values,
-                list(zip(bounds, sums, strict=True)),
-                cells[-1] / MS,
-            )
-        return family
-
     def render(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
-        collectors = prometheus_client.CollectorRegistry()
-        collectors.register(Collector(self))
-        return prometheus_client.generate_latest(collectors)
-
-
-class Collector(registry.Collector):
-    """Adapter between `Counts` and the Prometheus client library."""
-
-    def __init__(self, counts: Counts) -> None:
-        self.counts = counts
+        # The client library takes a fifth of a node's start to import, and
+        # most nodes are never scraped.
+        from currantcart.telemetry import exposition
 
-    def collect(self) -> Iterator[core.Metric]:
-        """Yields the metric families."""
-        return self.counts.collect()
+        return exposition.render(self)
 
 
 COUNTERS: dict[str, tuple[str, list[str]]] = {
