Soak: evacuations; a test of all targets cold under load after a power loss

Cause: neither the soak nor the tests met an evacuation, or targets that are all cold under the full load.

Change: the store's stand-in removes keys and shows it to watches; runs of 20 s or more evacuate a failure domain for longer than its bound beside the other faults (a series of its own, so that the seeds kept as regressions stay what they were) and check EVAC. test_all_targets_start_cold_under_load: 180 requests a second on six cold targets that bear 39; none gets more than the bound in any second, both kinds are served at what the targets bear, and from the fourth second on at 0.9 or more.

Measured: tests/proxy/targets and tests/soak/test_promises.py pass.

--- a/bench/soak/promises.py
+++ b/bench/soak/promises.py
@@ -8,6 +8,8 @@
 NOT_RUN = frozenset({408, 421, 429, 503})
 REVOKE_SECONDS = 5.0
 DRAIN_SECONDS = 2.0
+EVACUATION_SECONDS = 10.0
+"""Bound of an evacuation, with its stretch while faults disturb the nodes."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -46,6 +48,7 @@
       body: Request body.
       workspace: Workspace named in the request's header.
       expected: Id of the target that the node addressed the request to.
+      domain: Failure domain of the target.
     """
 
     request_id: str
@@ -54,6 +57,22 @@
     body: bytes
     workspace: str
     expected: str
+    domain: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class Evacuation:
+    """An evacuation of a failure domain.
+
+    Attributes:
+      domain: The failure domain.
+      at: When the store acknowledged it, in seconds of the monotonic clock.
+      until: When it was ended.
+    """
+
+    domain: str
+    at: float
+    until: float = float("inf")
 
 
 @dataclasses.dataclass(slots=True)
@@ -65,6 +84,7 @@
       ran: Runs in their order.
       withdrawn: Time at which each key was withdrawn.
       left: Time at which each target's draining report was acknowledged.
+      evacuations: Evacuations in their order.
       ended: Name and exit status of each process that exited unexpectedly.
     """
 
@@ -72,6 +92,7 @@
     ran: list[Ran] = dataclasses.field(default_factory=list)
     withdrawn: dict[str, float] = dataclasses.field(default_factory=dict)
     left: dict[str, float] = dataclasses.field(default_factory=dict)
+    evacuations: list[Evacuation] = dataclasses.field(default_factory=list)
     ended: list[str] = dataclasses.field(default_factory=list)
 
 
@@ -108,6 +129,13 @@
     left_at = record.left.get(ran.target_id)
     if left_at is not None and ran.at > left_at + DRAIN_SECONDS:
         yield f"DRAIN: {ran.request_id} came to {ran.target_id}, which left"
+    for evacuation in record.evacuations:
+        begin = evacuation.at + EVACUATION_SECONDS
+        if (
+            ran.domain == evacuation.domain
+            and begin < ran.at < evacuation.until
+        ):
+            yield f"EVAC: {ran.request_id} came to {ran.target_id}"
 
 
 def broken_by_answer(sent: Sent, runs: int) -> Iterator[str]:
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -18,6 +18,8 @@
 PER_SECOND = 60.0
 START_SECONDS = 3.0
 RECOVERY_SECONDS = 7.0
+PLANNED_SECONDS_MIN = 20.0
+"""Duration from which a run has evacuations, which last longer than faults."""
 REGRESSIONS = pathlib.Path(__file__).parent / "regressions.txt"
 
 
@@ -138,6 +140,14 @@
         fleet.configure()
 
 
+async def evacuate(fleet: world.World, rng: random.Random) -> None:
+    """Evacuates a failure domain for longer than its bound."""
+    domain = world.domain_of(rng.randrange(world.DOMAINS))
+    evacuation = fleet.evacuate(domain)
+    await asyncio.sleep(promises.EVACUATION_SECONDS + rng.uniform(1.0, 4.0))
+    fleet.restore(evacuation)
+
+
 FAULTS: tuple[Fault, ...] = (
     kill, stop_gracefully, pause, reread, spoil_wire, spoil_wire, reset_wire,
     spoil_store, spoil_target, replace, change,
@@ -180,6 +190,11 @@
         await fleet.start(NODES)
         await asyncio.sleep(START_SECONDS)
         load = asyncio.create_task(fleet.load(PER_SECOND, seconds))
+        planned = random.Random(seed + 2)
+        if seconds >= PLANNED_SECONDS_MIN:
+            fleet.run_in_background(
+                series(fleet, (evacuate,), planned, seconds - 1, injected)
+            )
         await asyncio.gather(
             *(
                 series(
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -24,6 +24,7 @@
 STARTER = pathlib.Path(__file__).parents[2] / "deploy" / "node.py"
 SERVICE = "grades"
 SITE = "shop.example"
+DOMAINS = 3
 HEARTBEAT_SECONDS = 0.5
 ANSWER_SECONDS_MAX = 6.0
 ROUTE_COLUMNS = [
@@ -63,6 +64,11 @@
     born: int = 1
 
 
+def domain_of(number: int) -> str:
+    """Returns the failure domain of a node by its index."""
+    return f"d{number % DOMAINS}"
+
+
 class World:
     """A fleet on loopback.
 
@@ -138,6 +144,18 @@
         self.configure()
         self.record.withdrawn[oldest] = time.monotonic()
 
+    def evacuate(self, domain: str) -> promises.Evacuation:
+        """Evacuates a failure domain until `restore`."""
+        self.store.operate(names.EVACUATIONS_PREFIX + domain, b"{}")
+        evacuation = promises.Evacuation(domain, time.monotonic())
+        self.record.evacuations.append(evacuation)
+        return evacuation
+
+    def restore(self, evacuation: promises.Evacuation) -> None:
+        """Ends an evacuation."""
+        evacuation.until = time.monotonic()
+        self.store.remove(names.EVACUATIONS_PREFIX + evacuation.domain)
+
     async def add(self, number: int) -> None:
         """Prepares a node with its proxy and its target."""
         ports = fleet.free_ports(6)
@@ -147,7 +165,7 @@
             json.dumps(
                 {
                     "instance": name,
-                    "failure_domain": f"d{number % 3}",
+                    "failure_domain": domain_of(number),
                     "region": "r",
                     "service": SERVICE,
                     "target": f"{HOST}:{ports[4]}",
@@ -174,12 +192,13 @@
         instance.server = await loop.create_server(
             lambda: instance.target.accept(), HOST, ports[4]
         )
-        self.record_runs(instance)
         self.places.append(instance)
+        self.record_runs(instance)
 
     def record_runs(self, instance: Instance) -> None:
         """Records the runs of a node's current target."""
         target = instance.target
+        domain = domain_of(self.places.index(instance))
 
         def answer(seen: http_target.Seen) -> bytes | None:
             body = promises.answer_to(seen.request_id)
@@ -194,6 +213,7 @@
                     seen.body,
                     seen.headers.get("currantcart-tenant", ""),
                     seen.headers.get("currantcart-expect-instance", ""),
+                    domain,
                 )
             )
 
--- a/bench/standins/key_value.py
+++ b/bench/standins/key_value.py
@@ -69,6 +69,7 @@
       delay_seconds: Delay before each answer.
       page_items: Maximum number of items in a page.
       revision: Revision of the last change.
+      removed: Revision at which the operator has removed a key, by key.
       compacted: Watches from a revision below this one are answered with 410.
       calls: Method and path of each call received.
     """
@@ -81,6 +82,7 @@
         self.delay_seconds = 0.004
         self.page_items = 500
         self.revision = 10
+        self.removed: dict[str, int] = {}
         self.compacted = 0
         self.lease_numbers = itertools.count(100)
         self.calls: list[str] = []
@@ -93,6 +95,12 @@
         """Writes an item without a lease, as an operator does."""
         self.write(key, base64.b64encode(value).decode(), 0)
 
+    def remove(self, key: str) -> None:
+        """Removes an item, as an operator does."""
+        del self.items[key]
+        self.revision += 1
+        self.removed[key] = self.revision
+
     def write(self, key: str, value: str, lease: int) -> None:
         """Writes an item at the next revision."""
         self.revision += 1
@@ -195,6 +203,11 @@
             for key, item in self.items.items()
             if key.startswith(prefix) and item.revision > after
         ]
+        events += [
+            {"key": key, "revision": revision, "removed": True}
+            for key, revision in self.removed.items()
+            if key.startswith(prefix) and revision > after
+        ]
         if not events:
             return None
         return 200, {"events": events, "as-of": self.revision}
--- a/tests/proxy/targets/test_cold_targets.py
+++ b/tests/proxy/targets/test_cold_targets.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
+import itertools
 
 from bench.standins import http_target
 from currantcart.platform import names
@@ -29,32 +31,72 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Asked:
+    """A request of a caller.
+
+    Attributes:
+      kind: Route of the request.
+      at: When it was sent, in seconds of the loop's clock.
+      status: Status of the response.
+    """
+
+    kind: str
+    at: float
+    status: int
+
+
 class Load:
-    """Callers that send requests at a steady rate to all nodes.
+    """Callers that send requests at a steady rate to all nodes in turn.
 
     Attributes:
-      statuses: Statuses of the responses.
+      asked: Requests that have ended.
     """
 
     def __init__(self, mesh: fake_mesh.Mesh) -> None:
         self.mesh = mesh
-        self.statuses: list[int] = []
-        self.tasks: list[asyncio.Task[None]] = []
-
-    async def one(self, place: fake_mesh.Place, number: int) -> None:
-        data = fake_mesh.request(request_id=f"l{number}", deadline=2_000)
-        self.statuses.append((await self.mesh.ask(place, data)).status)
-
-    async def run(self, *, per_second: float, seconds: float) -> None:
+        self.asked: list[Asked] = []
+        self.numbers = itertools.count()
+
+    @property
+    def statuses(self) -> list[int]:
+        return [asked.status for asked in self.asked]
+
+    async def one(self, place: fake_mesh.Place, number: int, kind: str) -> None:
+        at = self.mesh.loop.time()
+        data = fake_mesh.request(
+            f"/{kind}/1", request_id=f"l{number}", deadline=2_000
+        )
+        reply = await self.mesh.ask(place, data)
+        self.asked.append(Asked(kind, at, reply.status))
+
+    async def run(
+        self,
+        *,
+        per_second: float,
+        seconds: float,
+        kinds: tuple[str, ...] = ("read",),
+    ) -> None:
         places = list(self.mesh.places.values())
-        for number in range(round(per_second * seconds)):
+        tasks = []
+        for _ in range(round(per_second * seconds)):
+            number = next(self.numbers)
             place = places[number % len(places)]
-            self.tasks.append(
-                self.mesh.loop.create_task(self.one(place, number))
+            kind = kinds[number // len(places) % len(kinds)]
+            tasks.append(
+                self.mesh.loop.create_task(self.one(place, number, kind))
             )
             await asyncio.sleep(1 / per_second)
-        await asyncio.gather(*self.tasks)
-        self.tasks.clear()
+        await asyncio.gather(*tasks)
+
+    def served(self, kind: str, begin: float, end: float) -> float:
+        """Returns the share served of a kind's requests of a time."""
+        statuses = [
+            asked.status
+            for asked in self.asked
+            if asked.kind == kind and begin <= asked.at < end
+        ]
+        return statuses.count(200) / len(statuses)
 
 
 def record_arrivals(
@@ -191,6 +233,41 @@
     assert 0 < most_in_a_second(arrivals) <= BOUND
 
 
+async def test_all_targets_start_cold_under_load_after_a_power_loss(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """All machines lose power while callers go on sending.
+
+    A cold target that gets more than the bound in a second crashes and comes
+    back cold, so one second of the full load would never end: 180 requests per
+    second, of which six cold targets bear 39.
+    """
+    configure(mesh)
+    for number in range(6):
+        await mesh.add(f"n{number}", domain="abc"[number % 3])
+    await mesh.settle(2.0)
+    arrivals = {}
+    for place in mesh.places.values():
+        mesh.kill(place)
+        place.born += 1
+        place.sequence = 0
+        arrivals[place.name] = record_arrivals(mesh, place)
+    restarted_at = mesh.loop.time()
+    for place in mesh.places.values():
+        await mesh.restart(place)
+        await mesh.report(place, cold=3.0)
+    load = Load(mesh)
+    await load.run(per_second=180, seconds=10.0, kinds=("read", "pay"))
+    for name, times in arrivals.items():
+        cold = [at for at in times if at < restarted_at + 3.0]
+        assert 0 < most_in_a_second(cold) <= BOUND, name
+    for second in range(1, 10):
+        begin = restarted_at + second
+        least = 0.9 if second > 3 else 0.9 * 6 * RATE / 180
+        for kind in ("read", "pay"):
+            assert load.served(kind, begin, begin + 1.0) >= least, second
+
+
 async def test_a_target_that_left_is_not_probed(mesh: fake_mesh.Mesh) -> None:
     place = await mesh.add("a")
     await mesh.settle(1.0)
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -37,6 +37,15 @@
     return record
 
 
+def evacuated() -> promises.Record:
+    record = changed_run(at=30.0, domain="d1")
+    record.evacuations = [
+        promises.Evacuation("d0", 12.0),
+        promises.Evacuation("d1", 19.0, 31.0),
+    ]
+    return record
+
+
 def withdrawn() -> promises.Record:
     record = valid_record()
     record.withdrawn["k"] = 10.0 - promises.REVOKE_SECONDS - 0.1
@@ -73,6 +82,7 @@
         (changed_run(expected="t2"), "ROUTE"),
         (withdrawn(), "CONFIG"),
         (left(), "DRAIN"),
+        (evacuated(), "EVAC"),
         (ended(), "ENDED"),
     ],
 )
