--- a/src/currantcart/proxy/streams/link.py
+++ b/src/currantcart/proxy/streams/link.py
@@ -336,6 +336,11 @@
         if self.dialled and not self.probed_at:
             self.probed_at = self.context.now
 
+    @property
+    def is_awaited(self) -> bool:
+        """Whether an answer of the peer is awaited, or was last logged late."""
+        return bool(self.calls or self.probed_at or self.logged_unresponsive)
+
     def is_probe_due(self, now: float) -> bool:
         """Returns whether the peer is due to be probed.
 
--- a/src/currantcart/proxy/streams/peers.py
+++ b/src/currantcart/proxy/streams/peers.py
@@ -14,6 +14,7 @@
 
 DIAL_SECONDS_MAX = 0.7
 REDIAL_MS = 300.0
+RANK_CACHE_MS = 200.0
 # Silence after which a peer without an entry in the store is removed.
 DROP_MS = 12_000.0
 
@@ -26,6 +27,7 @@
       by_instance: Peers by instance.
       by_service: Targets of each service, including the local one.
       members_listed: Whether the store has once listed all nodes.
+      rank_cache: When `rank` was last worked out, and its value.
       local_target: This node's target, as the router sees it.
       accepted: Streams that were dialled by peers.
       reachability: Targets that can be reached, and their pressure.
@@ -71,6 +73,7 @@
             settings.service: [self.local_target]
         }
         self.members_listed = False
+        self.rank_cache = (float("-inf"), 0)
         self.accepted: set[link.Link] = set()
         self.leaving_targets: dict[str, tuple[str, int]] = {}
         self.reachability = reachability.Reachability(
@@ -197,7 +200,16 @@
 
         The first nodes of all failure domains rank before the second node of
         any, so that a domain that is cut off from the store delays no other.
+        It is worked out anew every `RANK_CACHE_MS`: that takes all peers.
         """
+        ranked_at, rank = self.rank_cache
+        if self.context.now - ranked_at >= RANK_CACHE_MS:
+            rank = self.current_rank()
+            self.rank_cache = (self.context.now, rank)
+        return rank
+
+    def current_rank(self) -> int:
+        """Returns this node's rank among the peers that are live now."""
         own = self.member
         ahead = 0
         sizes: collections.Counter[str] = collections.Counter()
@@ -392,7 +404,7 @@
                     self.dial(peer)
                 continue
             outgoing.check(now, limits)
-            if outgoing.peer:
+            if outgoing.peer and outgoing.is_awaited:
                 if outgoing.is_probe_due(now):
                     outgoing.send_status(self.status(outgoing))
                 outgoing.log_unresponsive(now)
