--- a/tests/proxy/streams/test_evacuations.py
+++ b/tests/proxy/streams/test_evacuations.py
@@ -110,6 +110,27 @@
     assert not any("event=tried_again" in line for line in mesh.lines)
 
 
+async def test_a_node_without_the_news_finds_a_target_elsewhere(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """More guards refuse for the evacuation than may refuse for their load."""
+    for number in range(5):
+        await mesh.add(f"a{number}", domain="a")
+    await mesh.add("b1", domain="b")
+    front = await mesh.add("a9", domain="a", service="other")
+    await mesh.settle(2.0)
+    mesh.store.operate(EVACUATE_A, b"{}")
+    await mesh.settle(1.5)
+    front.node.context.evacuations.domains = frozenset()
+    front.node.peers.reachability.invalidate()
+    replies = [
+        (await mesh.ask(front, fake_mesh.request("/pay/1"))).status
+        for _ in range(5)
+    ]
+    assert replies == [200] * 5
+    assert run_in(mesh, "a") == 0
+
+
 async def test_all_domains_evacuated_is_refused_at_once(
     mesh: fake_mesh.Mesh,
 ) -> None:
