Split framing, a peer's clock and the target's connectivity into modules

Cause: frames.py, link.py and guard.py each did more than one job, and the guard had grown by what cold and unreachable targets need.

Change: framing.py (frames on a stream), peer_clock.py, connectivity.py (down, probed, up again; the guard publishes it). No decision changed; the log events target_down and target_up are as before. test_frames.py is test_framing.py.

--- a/src/currantcart/proxy/streams/link.py
+++ b/src/currantcart/proxy/streams/link.py
@@ -15,7 +15,7 @@
 from currantcart import errors
 from currantcart.http1 import transport as stream
 from currantcart.proxy import context as proxy_context
-from currantcart.proxy.streams import compression, frames
+from currantcart.proxy.streams import compression, frames, framing, peer_clock
 
 PROTOCOL = 1
 SUSPECT_MS = 900.0
@@ -41,8 +41,6 @@
 rises: in a burst, most requests would go to the peer that is cut off, until
 its stream is suspect.
 """
-RESOLUTION_MS = 1.0
-"""Resolution of times in a status; the error counts as round-trip time."""
 REASONS = frozenset(
     {"silent", "closed", "replaced", "started_anew", "stopping"}
 )
@@ -112,43 +110,6 @@
         """Handles a frame of a call."""
 
 
-class PeerClock:
-    """Estimated offset between a peer's clock and the local one.
-
-    Attributes:
-      offset_ms: Added to a reading of the peer's clock, it gives a time on the
-        local clock that is never later than the true one.
-      round_trip_ms: Round-trip time of the sample that it was taken from.
-    """
-
-    def __init__(self) -> None:
-        self.offset_ms = 0.0
-        self.round_trip_ms = float("inf")
-
-    def sample(
-        self, *, now: float, peer_now: float, echo: float, held: float
-    ) -> None:
-        """Updates the offset if this sample has the shortest round trip.
-
-        The complete round-trip time is subtracted, so that a frame that was
-        delayed in transit can appear older than it is, but never newer.
-
-        Args:
-          now: Local clock when the status was received.
-          peer_now: Peer's clock when it was sent.
-          echo: Local clock when the status that it echoes was sent.
-          held: Time between receipt and echo at the peer.
-        """
-        round_trip = max(0.0, now - echo - held) + RESOLUTION_MS
-        if round_trip <= self.round_trip_ms:
-            self.round_trip_ms = round_trip
-            self.offset_ms = now - peer_now - round_trip
-
-    def to_own(self, peer_ms: float) -> float:
-        """Converts a time on the peer's clock to the local clock."""
-        return peer_ms + self.offset_ms
-
-
 class Link(asyncio.Protocol):
     """One stream to a peer.
 
@@ -188,7 +149,7 @@
         self.received_at = context.now
         self.calls: dict[int, object] = {}
         self.numbers = itertools.count(1)
-        self.clock = PeerClock()
+        self.clock = peer_clock.PeerClock()
         self.status_now = 0.0
         self.status_at = 0.0
         self.echoed_at = 0.0
@@ -199,8 +160,8 @@
         self.sent_evacuations: frozenset[str] | None = None
         self.fetches = False
         self.transport: asyncio.Transport | None = None
-        self.writer = frames.FrameWriter()
-        self.reader = frames.FrameReader()
+        self.writer = framing.FrameWriter()
+        self.reader = framing.FrameReader()
         self.flushing = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/src/currantcart/proxy/targets/guard.py
+++ b/src/currantcart/proxy/targets/guard.py
@@ -9,17 +9,14 @@
 from currantcart.admission import pressure, slots, slow_start
 from currantcart.call import lineage
 from currantcart.catalog import model as catalog_model
-from currantcart.http1 import pool
 from currantcart.proxy import context as proxy_context
 from currantcart.proxy.streams import frames
+from currantcart.proxy.targets import connectivity, target_exchange
 from currantcart.proxy.targets import job as job_module
-from currantcart.proxy.targets import target_exchange
 
 LATE_MS = 40.0
 """Time left below which a request to the target is refused."""
 SWEEP_SECONDS = 0.02
-PROBE_SECONDS = 0.1
-"""Time between two attempts to connect to a target that refuses connections."""
 # Latency objective assumed before the first request.
 OBJECTIVE_MS = 300.0
 # Weight of each request's objective in the moving average.
@@ -36,7 +33,7 @@
       slot_count: Requests that the target runs concurrently, as it reports.
       ready: Whether the target accepts requests.
       slow_start: Bound on the requests that the target gets while it is cold.
-      reachable: Whether the target accepts connections.
+      connectivity: Whether the target accepts connections.
       queue: The target's slots and the queue of requests that wait for one.
       running: Requests that hold a slot, by object identity.
       by_request: The same requests, by request id.
@@ -57,11 +54,16 @@
         self.slot_count = 1
         self.ready = False
         self.slow_start = slow_start.SlowStart(started_at=context.now)
-        self.reachable = True
         self.queue: slots.SlotQueue[job_module.Job] = slots.SlotQueue()
         self.running: dict[int, job_module.Job] = {}
         self.by_request: dict[str, job_module.Job] = {}
         self.exchange = target_exchange.TargetExchange(context, self)
+        self.connectivity = connectivity.Connectivity(
+            context,
+            connections=self.exchange.pool,
+            is_used=lambda: self.ready,
+            on_change=self.handle_connectivity,
+        )
         self.gauge = pressure.Gauge()
         self.objective_ms = OBJECTIVE_MS
         self.called_pressure: Callable[[], pressure.Pressure] = dict
@@ -93,7 +95,7 @@
         self.born = born
         self.slot_count = slot_count
         self.ready = ready
-        self.reachable = True
+        self.connectivity.mark_up()
         self.slow_start.cold_until = self.context.now + cold_ms
         self.queue.configure(slot_count)
         if not ready:
@@ -127,41 +129,23 @@
             self.slow_start.cold_until = self.context.now + service.cold_ms
 
     def mark_unreachable(self) -> None:
-        """Stops admission to a target that refuses connections.
-
-        It is published at once. All that waits would otherwise be sent to the
-        target as soon as it has started again, and to its successors.
-        """
-        if not self.reachable:
-            return
-        self.reachable = False
-        self.context.log.event("target_down", target=self.target_id)
-        self.refuse_waiting("target_unreachable")
-        self.publish()
-        self.loop.call_later(PROBE_SECONDS, self.probe_target)
+        """Stops admission to a target that refuses connections."""
+        self.connectivity.mark_down()
 
-    def probe_target(self) -> None:
-        """Connects to an unreachable target; repeated until one succeeds."""
-        if not self.reachable and self.ready:
-            self.exchange.pool.dial(self.probe_succeeded, self.probe_failed)
+    def handle_connectivity(self) -> None:
+        """Publishes that the target is down or up again.
 
-    def probe_failed(self, reason: str) -> None:
-        """Schedules the next probe."""
-        del reason
-        self.loop.call_later(PROBE_SECONDS, self.probe_target)
-
-    def probe_succeeded(self, connection: pool.Connection) -> None:
-        """Resumes admission: the target accepts connections again.
-
-        It has probably started anew, and is cold until its report says
-        otherwise.
+        A target that is up again has probably started anew, and is cold until
+        its report says otherwise.
         """
-        self.exchange.pool.give_back(connection, self.context.now)
-        if self.reachable:
-            return
-        self.reachable = True
-        self.assume_cold()
-        self.context.log.event("target_up", target=self.target_id)
+        up = self.connectivity.up
+        self.context.log.event(
+            "target_up" if up else "target_down", target=self.target_id
+        )
+        if up:
+            self.assume_cold()
+        else:
+            self.refuse_waiting("target_unreachable")
         self.publish()
 
     def mark_target_leaving(self) -> None:
@@ -191,7 +175,7 @@
     @property
     def admits(self) -> bool:
         """Whether the target accepts requests and connections."""
-        return self.ready and self.reachable
+        return self.ready and self.connectivity.up
 
     @property
     def is_open(self) -> bool:
@@ -329,7 +313,7 @@
             return "no_target"
         if self.is_evacuated:
             return "domain_evacuated"
-        if not self.reachable:
+        if not self.connectivity.up:
             return "target_unreachable"
         if self.slow_start.wait_ms(now):
             return "target_cold"
--- a/tests/proxy/streams/test_frames.py
+++ b/tests/proxy/streams/test_framing.py
@@ -10,7 +10,7 @@
 from currantcart import errors
 from currantcart.admission import pressure
 from currantcart.proxy import statuses
-from currantcart.proxy.streams import compression, frames, link
+from currantcart.proxy.streams import compression, frames, framing, peer_clock
 
 FAR_STATUS_BYTES = 10_240 / 195
 """Size limit of a status sent to 195 nodes at one per second and 10 KB/s."""
@@ -34,8 +34,8 @@
     )
 
 
-def writer(*, packed: bool) -> frames.FrameWriter:
-    made = frames.FrameWriter()
+def writer(*, packed: bool) -> framing.FrameWriter:
+    made = framing.FrameWriter()
     if packed:
         made.compressor = compression.Compressor()
     return made
@@ -46,7 +46,7 @@
 def test_frames_are_complete_however_the_bytes_are_split(
     packed: bool, piece: int
 ) -> None:
-    made, reader = writer(packed=packed), frames.FrameReader()
+    made, reader = writer(packed=packed), framing.FrameReader()
     sent: list[frames.Frame] = []
     data = b""
     for turn in range(5):
@@ -63,8 +63,8 @@
 
 
 def test_a_long_body_is_sent_uncompressed_between_packed_frames() -> None:
-    made, reader = writer(packed=True), frames.FrameReader()
-    body = random.Random(1).randbytes(frames.PACKED_BYTES_MAX + 1)
+    made, reader = writer(packed=True), framing.FrameReader()
+    body = random.Random(1).randbytes(framing.PACKED_BYTES_MAX + 1)
     sent = [opening(1), opening(2, body=body), opening(3)]
     got: list[frames.Frame] = []
     for frame in sent:
@@ -86,7 +86,7 @@
 
 
 def packed(data: bytes) -> bytes:
-    return frames.encode_frame(
+    return framing.encode_frame(
         frames.Packed(compression.Compressor().pack(data))
     )
 
@@ -94,17 +94,17 @@
 @pytest.mark.parametrize(
     "data",
     [
-        frames.encode_frame(frames.Packed(b"\xff\xff no deflate")),
+        framing.encode_frame(frames.Packed(b"\xff\xff no deflate")),
         packed(b"\0\0\0\x01"),
-        packed(frames.encode_frame(frames.Packed(b""))),
-        packed(b"\0" * (frames.PACKED_BYTES_MAX + 1)),
+        packed(framing.encode_frame(frames.Packed(b""))),
+        packed(b"\0" * (framing.PACKED_BYTES_MAX + 1)),
         packed(b"\0\0\0\x02\xc1\xc1"),
     ],
     ids=["garbage", "cut", "nested", "bomb", "no frame"],
 )
 def test_what_cannot_be_unpacked_raises_a_stream_error(data: bytes) -> None:
     with pytest.raises(errors.StreamError):
-        list(frames.FrameReader().feed(data))
+        list(framing.FrameReader().feed(data))
 
 
 def test_a_peer_that_does_not_announce_it_is_sent_nothing_packed() -> None:
@@ -122,7 +122,7 @@
     """A delayed frame would appear newer if its transit time were ignored."""
     rng = random.Random(3)
     for _ in range(2_000):
-        clock = link.PeerClock()
+        clock = peer_clock.PeerClock()
         ahead = rng.uniform(-1e6, 1e6)
         asked = rng.uniform(1e6, 2e6)
         taken = asked + one_way
@@ -184,6 +184,6 @@
     """A rolling upgrade would end at the first stream between two releases."""
     member = frames.Member("a", "p", "10.0.0.1:1", "grades", "far")
     sent = frames.Hello(1, member, 5.0, unpacks=True, age_ms=7.0, fetches=True)
-    data = frames.encode_frame(sent)[frames.LENGTH.size :]
+    data = framing.encode_frame(sent)[framing.LENGTH.size :]
     read = msgspec.msgpack.decode(data, type=PreviousHello)
     assert (read.member, read.unpacks, read.age_ms) == (member, True, 7.0)
