Compare the own target by identity; wait for a service without known targets

Cause, found on reading the change: `in` compared the own target with each candidate field by field, once a call; a service of which no target is known counted as evacuated as soon as any domain was, so a starting node refused at once what it should hold for a moment; changed bounds did not reach the guard.

Change and tests: test_a_service_without_known_targets_is_waited_for and test_changed_bounds_apply_without_a_restart, both with the fix.

--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -369,6 +369,7 @@
         self.context.settings = settings
         self.callers.intake.revoke_ms = settings.bounds.revoke_seconds * 1e3
         self.outbound.retries.use_bounds(settings.bounds)
+        self.guard.configure_slow_start()
         self.context.log.event(
             "settings_read",
             changed=settings != before,
--- a/src/currantcart/proxy/streams/reachability.py
+++ b/src/currantcart/proxy/streams/reachability.py
@@ -104,15 +104,15 @@
         return (
             rng.sample(near, min(len(near), CANDIDATES_NEAR))
             + rng.sample(far, min(len(far), CANDIDATES_FAR))
-            + ([self.local_target] if self.local_target in found else [])
+            + [item for item in near if item is self.local_target]
         )
 
     def is_evacuated(self, service: str) -> bool:
         """Returns whether all targets of a service are in evacuated domains."""
         domains = self.context.evacuations.domains
-        return bool(domains) and all(
-            target.failure_domain in domains
-            for target in self.by_service.get(service, ())
+        targets = self.by_service.get(service)
+        return bool(domains and targets) and all(
+            target.failure_domain in domains for target in targets or ()
         )
 
     def pressure_on(self, service: str) -> pressure.Pressure:
--- a/tests/proxy/streams/test_evacuations.py
+++ b/tests/proxy/streams/test_evacuations.py
@@ -146,6 +146,19 @@
     assert run_in(mesh, "a") + run_in(mesh, "b") == 0
 
 
+async def test_a_service_without_known_targets_is_waited_for(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """Nodes that have just started don't know the targets elsewhere yet."""
+    front = await mesh.add("a1", domain="a", service="other")
+    mesh.store.operate(EVACUATE_A, b"{}")
+    await mesh.settle(2.0)
+    asked_at = mesh.clock.now()
+    reply = await mesh.ask(front, fake_mesh.request("/pay/1"))
+    assert reply.status == 503
+    assert mesh.clock.now() - asked_at > 100.0
+
+
 async def test_waiting_requests_leave_an_evacuated_domain(
     mesh: fake_mesh.Mesh,
 ) -> None:
--- a/tests/proxy/targets/test_cold_targets.py
+++ b/tests/proxy/targets/test_cold_targets.py
@@ -6,6 +6,8 @@
 import dataclasses
 import itertools
 
+import msgspec
+
 from bench.standins import http_target
 from currantcart.platform import names
 from currantcart.proxy import settings as proxy_settings
@@ -268,6 +270,20 @@
             assert load.served(kind, begin, begin + 1.0) >= least, second
 
 
+async def test_changed_bounds_apply_without_a_restart(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    configure(mesh)
+    place = await mesh.add("a")
+    await mesh.settle(1.0)
+    before = place.node.guard.slow_start.limit
+    bounds = proxy_settings.Bounds(cold_slack=2.0)
+    place.node.use_settings(
+        msgspec.structs.replace(place.settings, bounds=bounds)
+    )
+    assert place.node.guard.slow_start.limit == before - 6.0
+
+
 async def test_a_target_that_left_is_not_probed(mesh: fake_mesh.Mesh) -> None:
     place = await mesh.add("a")
     await mesh.settle(1.0)
