One way to tell that an edit is in force; an evacuation is ended by restore

Cause: `domain evacuate` repeated what `key withdraw` does once an edit is accepted, and `undo` of an evacuation gave a reason that did not name it.

Change: fleet.show_in_force for both; the message and the reason in previous_parts name evacuations (test_an_evacuation_cannot_be_undone).

--- a/src/currantcart/cli/domains.py
+++ b/src/currantcart/cli/domains.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
-import os
 from collections.abc import Callable
 from typing import ClassVar
 
@@ -48,12 +46,7 @@
         raise base.UsageError(jsonc.describe(error)) from error
     change = change_of(name)
     accepted = command.edit(lambda editor: editor.apply(change))
-    output.accepted(command, accepted)
-    if not (command.option("admin") or os.environ.get(base.ADMIN_VARIABLE)):
-        return 0
-    address = command.address("admin", base.ADMIN_VARIABLE)
-    asyncio.run(fleet.confirm_in_force(address, accepted.revision))
-    output.result(command, "in force everywhere", in_force=True)
+    fleet.show_in_force(command, accepted)
     return 0
 
 
--- a/src/currantcart/cli/fleet.py
+++ b/src/currantcart/cli/fleet.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import os
 from typing import Any, ClassVar
 
 from cleo.helpers import argument, option
@@ -12,6 +13,7 @@
 
 from currantcart import errors
 from currantcart.cli import base, logs, output
+from currantcart.config import edits
 
 IN_FORCE_POLLS = 70
 IN_FORCE_POLL_SECONDS = 0.1
@@ -89,19 +91,24 @@
     return missing
 
 
-async def confirm_in_force(address: str, revision: int) -> None:
-    """Waits until all members have applied a revision.
+def show_in_force(command: base.BaseCommand, accepted: edits.Accepted) -> None:
+    """Prints an accepted edit; given a node, waits until all confirm it.
 
     Raises:
-      errors.CurrantcartError: Some have not confirmed it in time.
+      errors.CurrantcartError: Some members have not confirmed it in time.
     """
-    missing = await wait_in_force(address, revision)
+    output.accepted(command, accepted)
+    if not (command.option("admin") or os.environ.get(base.ADMIN_VARIABLE)):
+        return
+    address = command.address("admin", base.ADMIN_VARIABLE)
+    missing = asyncio.run(wait_in_force(address, accepted.revision))
     if missing:
         raise errors.CurrantcartError(
             errors.Code.PEER_UNREACHABLE,
             errors.Step.COMMAND,
             f"accepted, but not confirmed by {', '.join(missing)}",
         )
+    output.result(command, "in force everywhere", in_force=True)
 
 
 class StatusCommand(base.BaseCommand):
--- a/src/currantcart/cli/workspaces.py
+++ b/src/currantcart/cli/workspaces.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
-import os
 import secrets
 from typing import ClassVar
 
@@ -144,12 +142,7 @@
         """
         change = changes.withdraw_key(self.argument("key_id"))
         accepted = self.edit(lambda editor: editor.apply(change))
-        output.accepted(self, accepted)
-        if not (self.option("admin") or os.environ.get(base.ADMIN_VARIABLE)):
-            return 0
-        address = self.address("admin", base.ADMIN_VARIABLE)
-        asyncio.run(fleet.confirm_in_force(address, accepted.revision))
-        output.result(self, "in force everywhere", in_force=True)
+        fleet.show_in_force(self, accepted)
         return 0
 
 
--- a/src/currantcart/config/changes.py
+++ b/src/currantcart/config/changes.py
@@ -161,14 +161,14 @@
     """Returns the history record of an edit that can be undone.
 
     Raises:
-      errors.CurrantcartError: The edit is unknown, too old or concerns keys.
+      errors.CurrantcartError: The edit is unknown, too old, or concerns keys or evacuations.
     """
     for record in current.history:
         if record.revision == revision and record.before:
             return record
     raise refuse(
         f"revision {revision} cannot be undone: it is too old, unknown, "
-        "or an edit of keys",
+        "or an edit of keys or evacuations",
         code=errors.Code.NOT_FOUND,
     )
 
--- a/src/currantcart/config/edits.py
+++ b/src/currantcart/config/edits.py
@@ -50,7 +50,8 @@
 ) -> dict[str, Any]:
     """Returns the values that an edit replaces, for undo.
 
-    Keys are left out, so that an undo never restores a withdrawn key.
+    Keys are left out, so that an undo never restores a withdrawn key. So are
+    evacuations: `restore` ends them, and an undo must not begin one.
     """
     before: dict[str, Any] = {}
     if "services" in changed.parts:
--- a/tests/node/test_evacuation.py
+++ b/tests/node/test_evacuation.py
@@ -6,7 +6,9 @@
 
 import pytest
 
-from currantcart.config import changes, document
+from currantcart import clock as clock_module
+from currantcart import errors
+from currantcart.config import changes, document, edits
 from currantcart.routing import router as routing
 from tests.fakes.world import World, default_document
 
@@ -129,8 +131,25 @@
     current = current.model_copy(update=first.parts)
     second = changes.evacuate_domain("a")(current)
     assert second.parts == {"evacuated": ["a", "b"]}
-    with pytest.raises(Exception, match="evacuated already"):
+    with pytest.raises(errors.CurrantcartError, match="evacuated already"):
         changes.evacuate_domain("b")(current)
-    with pytest.raises(Exception, match="not evacuated"):
+    with pytest.raises(errors.CurrantcartError, match="not evacuated"):
         changes.restore_domain("c")(current)
     assert changes.restore_domain("b")(current).parts == {"evacuated": []}
+
+
+async def test_an_evacuation_cannot_be_undone_only_restored(
+    world: World,
+) -> None:
+    editor = edits.Editor(
+        store=world.store,
+        clock=clock_module.Clock(now=lambda: 0.0, wall=lambda: 0.0),
+        author="op",
+    )
+    accepted = await editor.apply(changes.evacuate_domain(DOMAIN))
+    with pytest.raises(errors.CurrantcartError, match="evacuations"):
+        await editor.apply(changes.undo(accepted.revision))
+    await editor.apply(changes.restore_domain(DOMAIN))
+    current, _ = await editor.read()
+    assert current.evacuated == []
+    assert current.history[-2].author == "op"
