--- a/src/currantcart/config/changes.py
+++ b/src/currantcart/config/changes.py
@@ -161,7 +161,8 @@
     """Returns the history record of an edit that can be undone.
 
     Raises:
-      errors.CurrantcartError: The edit is unknown, too old, or concerns keys or evacuations.
+      errors.CurrantcartError: The edit is unknown or too old, or concerns keys
+        or evacuations.
     """
     for record in current.history:
         if record.revision == revision and record.before:
