A value that is not Base64 is a failed read; tests of the range and of removals

Tests of the range read, its revision after a removal, and a watch that ends with one.

Measured: tests/platform, tests/store and tests/proxy/streams pass; the new test fails without the change (binascii.Error).

--- a/src/currantcart/platform/store.py
+++ b/src/currantcart/platform/store.py
@@ -69,10 +69,20 @@
 
 
 def item_of(stored: StoredItem) -> leased.Item:
-    """Converts an item of the store to the port's item."""
+    """Converts an item of the store to the port's item.
+
+    Raises:
+      port.StoreOutcomeUnknown: The value is not Base64.
+    """
+    try:
+        value = base64.b64decode(stored.value, validate=True)
+    except ValueError as error:
+        raise port.StoreOutcomeUnknown(
+            f"value of {stored.key} is not Base64: {error}", peer="store"
+        ) from error
     return leased.Item(
         stored.key,
-        base64.b64decode(stored.value),
+        value,
         stored.revision,
         stored.as_of,
         stored.lease,
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -66,6 +66,45 @@
     assert not any("allow-stale" in call for call in standin.calls)
 
 
+async def test_a_range_is_read_with_the_revision_of_the_store(
+    standin: key_value.KeyValueStandIn, store: platform_store.KeyValueStore
+) -> None:
+    standin.page_items = 2
+    for name in ("config", "evacuate/a", "evacuate/b"):
+        standin.operate(f"op/{name}", b"{}")
+    found = await store.read_range("op/")
+    assert [item.key for item in found.items] == [
+        "op/config",
+        "op/evacuate/a",
+        "op/evacuate/b",
+    ]
+    standin.remove("op/evacuate/a")
+    after = await store.read_range("op/")
+    assert after.as_of == found.as_of + 1
+    assert len(after.items) == 2
+    assert not any("allow-stale" in call for call in standin.calls)
+
+
+async def test_a_removed_key_ends_a_watch(
+    standin: key_value.KeyValueStandIn, store: platform_store.KeyValueStore
+) -> None:
+    standin.operate("op/evacuate/a", b"{}")
+    before = standin.revision
+    standin.remove("op/evacuate/a")
+    changes = await store.watch("op/", after=before, wait_ms=1_000.0)
+    assert changes.any
+    assert changes.as_of == before + 1
+
+
+async def test_a_value_that_is_not_base64_is_a_failed_read(
+    standin: key_value.KeyValueStandIn, store: platform_store.KeyValueStore
+) -> None:
+    """It raised an error without a code, which ended the reader's task."""
+    standin.write("op/config", "%%%", 0)
+    with pytest.raises(port.StoreOutcomeUnknown, match="op/config"):
+        await store.read_range("op/")
+
+
 async def test_keys_end_with_their_lease(
     standin: key_value.KeyValueStandIn, store: platform_store.KeyValueStore
 ) -> None:
