--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -96,11 +96,17 @@
     assert changes.as_of == before + 1
 
 
+@pytest.mark.parametrize("value", ["%%%", "abc"])
 async def test_a_value_that_is_not_base64_is_a_failed_read(
-    standin: key_value.KeyValueStandIn, store: platform_store.KeyValueStore
+    standin: key_value.KeyValueStandIn,
+    store: platform_store.KeyValueStore,
+    value: str,
 ) -> None:
-    """It raised an error without a code, which ended the reader's task."""
-    standin.write("op/config", "%%%", 0)
+    """It became an empty value, or raised an error without a code.
+
+    The error ended the task that reads the configuration for the fleet.
+    """
+    standin.write("op/config", value, 0)
     with pytest.raises(port.StoreOutcomeUnknown, match="op/config"):
         await store.read_range("op/")
 
