Take a target as cold after a restart of its node until it is known

Cause, found on reading: a restarted node used what its predecessor had recorded of the target, so one that had cooled down meanwhile (at the end of an evacuation, say) got the full load: 151 requests in a second where 17.75 are allowed (test_a_restarted_node_takes_its_target_as_cold_until_it_knows, failed before in both cases).

Change: after a restart, an evacuation and refused connections the target is taken as cold, and asked once by a health request (cold_check.py); its answer or its next report ends that. A healthy answer without a warm-up is warm. Before the first configuration the slack alone is allowed. Services without a cold rate are neither bounded nor asked.

--- a/bench/standins/http_target.py
+++ b/bench/standins/http_target.py
@@ -46,6 +46,7 @@
     ).encode()
 
 
+HEALTH_PATH = "/health"
 Script = Callable[[Seen], bytes | None]
 
 
@@ -59,6 +60,8 @@
       work_seconds: Processing time of a request.
       shed_ratio: Share of requests that are answered as not executed.
       on_run: Called with each request that runs.
+      cold_ms: Remaining warm-up that health answers state, unless it is 0;
+        None leaves health requests unanswered.
       cut_after: Whether the connection is closed after each answer.
       seen: Requests received, including those not executed.
       running: Number of requests that are running.
@@ -72,6 +75,7 @@
     work_seconds: float = 0.01
     shed_ratio: float = 0.0
     on_run: Callable[[Seen], None] | None = None
+    cold_ms: float | None = None
     cut_after: bool = False
     seen: list[Seen] = dataclasses.field(default_factory=list)
     running: int = 0
@@ -122,11 +126,28 @@
     def on_message_complete(self) -> None:
         method = self.parser.get_method().decode()
         seen = Seen(method, self.url.decode(), self.headers, self.body)
+        if seen.path == HEALTH_PATH:
+            self.answer_health()
+            return
         self.target.seen.append(seen)
         task = asyncio.get_running_loop().create_task(self.work(seen))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
+    def answer_health(self) -> None:
+        """Answers a health request with the remaining warm-up."""
+        cold_ms = self.target.cold_ms
+        if cold_ms is None or self.transport is None:
+            return
+        stated = f"Currantcart-Cold-Ms: {cold_ms:.0f}\r\n" if cold_ms else ""
+        self.transport.write(
+            (
+                "HTTP/1.1 200 OK\r\n"
+                f"Currantcart-Instance-Id: {self.target.target_id}\r\n"
+                f"{stated}Content-Length: 0\r\n\r\n"
+            ).encode()
+        )
+
     async def work(self, seen: Seen) -> None:
         target = self.target
         if target.shed_ratio and random.random() < target.shed_ratio:
--- a/src/currantcart/catalog/model.py
+++ b/src/currantcart/catalog/model.py
@@ -72,12 +72,15 @@
       cold_ms: Time for which a target is cold after its start.
       cold_rate: Requests per second that a cold target bears; 0 means no
         limit.
+      health_path: Path of the health resource of its targets; empty without
+        one.
     """
 
     name: str
     connections_max: int
     cold_ms: float = 0.0
     cold_rate: float = 0.0
+    health_path: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/currantcart/platform/config.py
+++ b/src/currantcart/platform/config.py
@@ -66,6 +66,7 @@
     max_connections: int = 100
     cold_start_s: float = 0.0
     cold_per_s: float = 0.0
+    health_path: str = ""
 
 
 class TenantRecord(msgspec.Struct, rename="kebab"):
@@ -98,7 +99,7 @@
     base_version: int | None = None
 
 
-UNUSED = frozenset({"health-path", "protocol", "tls"})
+UNUSED = frozenset({"protocol", "tls"})
 """Known columns of services that nodes do not use."""
 
 
@@ -160,6 +161,7 @@
                 record.max_connections,
                 cold_ms=record.cold_start_s * MS,
                 cold_rate=record.cold_per_s,
+                health_path=record.health_path,
             )
             for record in services
         ),
--- a/src/currantcart/platform/names.py
+++ b/src/currantcart/platform/names.py
@@ -13,6 +13,8 @@
     not_executed="Currantcart-Not-Executed",
     key="Api-Key",
     seal="Currantcart-Server-Seal",
+    instance="Currantcart-Instance-Id",
+    cold="Currantcart-Cold-Ms",
 )
 OPERATOR_PREFIX = "op/"
 CONFIG_KEY = "op/config"
--- a/src/currantcart/proxy/header_names.py
+++ b/src/currantcart/proxy/header_names.py
@@ -23,6 +23,8 @@
         run.
       key: API key of a workspace, sent by the caller.
       seal: Set by a target in responses that it generated itself.
+      instance: Id of the target, in its health responses.
+      cold: Remaining warm-up in milliseconds, in its health responses.
     """
 
     request_id: str
@@ -33,6 +35,8 @@
     not_executed: str
     key: str
     seal: str
+    instance: str
+    cold: str
 
 
 HOP_BY_HOP = frozenset(
@@ -62,6 +66,8 @@
       not_executed: See `HeaderNames`.
       key: See `HeaderNames`.
       seal: See `HeaderNames`.
+      instance: See `HeaderNames`.
+      cold: See `HeaderNames`.
       stripped: Headers that are not forwarded: `HOP_BY_HOP` and those that
         the node sets itself.
     """
@@ -71,6 +77,8 @@
     not_executed: bytes
     key: bytes
     seal: bytes
+    instance: bytes
+    cold: bytes
     stripped: frozenset[bytes]
 
     @classmethod
@@ -97,5 +105,7 @@
             not_executed=lower(names.not_executed),
             key=lower(names.key),
             seal=lower(names.seal),
+            instance=lower(names.instance),
+            cold=lower(names.cold),
             stripped=HOP_BY_HOP | set_by_node,
         )
--- a/src/currantcart/proxy/targets/guard.py
+++ b/src/currantcart/proxy/targets/guard.py
@@ -11,12 +11,18 @@
 from currantcart.catalog import model as catalog_model
 from currantcart.proxy import context as proxy_context
 from currantcart.proxy.streams import frames
-from currantcart.proxy.targets import connectivity, target_exchange
+from currantcart.proxy.targets import (
+    cold_check,
+    connectivity,
+    target_exchange,
+)
 from currantcart.proxy.targets import job as job_module
 
 LATE_MS = 40.0
 """Time left below which a request to the target is refused."""
 SWEEP_SECONDS = 0.02
+ASSUMED_COLD_MS = 3_000.0
+"""Warm-up assumed while the service's own is not known."""
 # Latency objective assumed before the first request.
 OBJECTIVE_MS = 300.0
 # Weight of each request's objective in the moving average.
@@ -33,7 +39,9 @@
       slot_count: Requests that the target runs concurrently, as it reports.
       ready: Whether the target accepts requests.
       slow_start: Bound on the requests that the target gets while it is cold.
+      cold_assumed: Whether the target is taken as cold without knowing it.
       connectivity: Whether the target accepts connections.
+      cold_check: Asks the target whether it is cold.
       queue: The target's slots and the queue of requests that wait for one.
       running: Requests that hold a slot, by object identity.
       by_request: The same requests, by request id.
@@ -54,6 +62,8 @@
         self.slot_count = 1
         self.ready = False
         self.slow_start = slow_start.SlowStart(started_at=context.now)
+        self.cold_assumed = False
+        self.configure_slow_start()
         self.queue: slots.SlotQueue[job_module.Job] = slots.SlotQueue()
         self.running: dict[int, job_module.Job] = {}
         self.by_request: dict[str, job_module.Job] = {}
@@ -64,6 +74,11 @@
             is_used=lambda: self.ready,
             on_change=self.handle_connectivity,
         )
+        self.cold_check = cold_check.ColdCheck(
+            context,
+            connections=self.exchange.pool,
+            on_known=self.set_cold,
+        )
         self.gauge = pressure.Gauge()
         self.objective_ms = OBJECTIVE_MS
         self.called_pressure: Callable[[], pressure.Pressure] = dict
@@ -96,21 +111,31 @@
         self.slot_count = slot_count
         self.ready = ready
         self.connectivity.mark_up()
-        self.slow_start.cold_until = self.context.now + cold_ms
+        self.set_cold(cold_ms)
         self.queue.configure(slot_count)
         if not ready:
             self.refuse_waiting("target_leaving")
         self.run_waiting()
 
     def configure_slow_start(self) -> None:
-        """Applies the limit for a cold target of a new configuration."""
+        """Applies the limit for a cold target of a new configuration.
+
+        Before the first one the service's rate is not known, and the slack is
+        all that a cold target may get in any case.
+        """
         service = self.service()
         bounds = self.context.settings.bounds
+        if self.context.catalog is None:
+            self.slow_start.limit = max(1.0, bounds.cold_slack - 1.0)
+            return
         self.slow_start.limit = slow_start.requests_per_second(
             service.cold_rate if service else 0.0,
             overshoot=bounds.cold_overshoot,
             slack=bounds.cold_slack,
         )
+        if self.cold_assumed:
+            # The path of the health resource may be known only now.
+            self.assume_cold()
 
     def service(self) -> catalog_model.Service | None:
         """Returns the target's service; None while it is not configured."""
@@ -120,13 +145,21 @@
         return catalog.services.get(self.context.settings.service)
 
     def assume_cold(self) -> None:
-        """Treats the target as cold until its next report.
+        """Treats the target as cold until it is known whether it is.
 
-        It may have become cold without a report of it so far.
+        It may have become cold without a report of it so far. It is asked, and
+        its next report tells as well.
         """
         service = self.service()
-        if service is not None:
-            self.slow_start.cold_until = self.context.now + service.cold_ms
+        self.set_cold(service.cold_ms if service else ASSUMED_COLD_MS)
+        self.cold_assumed = True
+        if service and self.slow_start.is_limited(self.context.now):
+            self.cold_check.start(service.health_path, self.target_id)
+
+    def set_cold(self, cold_ms: float) -> None:
+        """Sets the remaining warm-up of the target."""
+        self.cold_assumed = False
+        self.slow_start.cold_until = self.context.now + cold_ms
 
     def mark_unreachable(self) -> None:
         """Stops admission to a target that refuses connections."""
--- a/src/currantcart/proxy/targets/target_reports.py
+++ b/src/currantcart/proxy/targets/target_reports.py
@@ -152,9 +152,10 @@
             target_id=last.target_id,
             slot_count=last.slots,
             ready=True,
-            cold_ms=last.cold_ms,
+            cold_ms=0.0,
             born=last.born,
         )
+        self.guard.assume_cold()
         self.context.log.event(
             "target_restored", target=last.target_id, slots=last.slots
         )
--- a/tests/proxy/targets/test_cold_targets.py
+++ b/tests/proxy/targets/test_cold_targets.py
@@ -7,6 +7,7 @@
 import itertools
 
 import msgspec
+import pytest
 
 from bench.standins import http_target
 from currantcart.platform import names
@@ -309,3 +310,48 @@
     """Starts a target's process again."""
     host, port = proxy_settings.split_address(place.settings.target)
     await mesh.loop.create_server(place.target.accept, host, port)
+
+
+@pytest.mark.parametrize("answers", [True, False])
+async def test_a_restarted_node_takes_its_target_as_cold_until_it_knows(
+    mesh: fake_mesh.Mesh, *, answers: bool
+) -> None:
+    """A node restarts as the evacuation of its failure domain ends.
+
+    Its target has cooled down meanwhile, and what the process before has
+    recorded of it says that it is warm.
+    """
+    configure(mesh)
+    place = await mesh.add("a1", domain="a")
+    await mesh.add("b1", domain="b", service="other")
+    await mesh.settle(2.0)
+    place.target.cold_ms = 2_500.0 if answers else None
+    arrivals = record_arrivals(mesh, place)
+    await mesh.restart(place)
+    await mesh.settle(0.4)
+    await Load(mesh).run(per_second=150, seconds=1.5)
+    assert 0 < most_in_a_second(arrivals) <= BOUND
+
+
+@pytest.mark.parametrize("restarted", ["a", "ab"])
+async def test_a_restarted_node_uses_a_warm_target_without_its_report(
+    mesh: fake_mesh.Mesh, restarted: str
+) -> None:
+    """The target is asked, since its next report may be 1.5 s away.
+
+    Where all nodes restart, the target is known before the configuration,
+    which names the path to ask at.
+    """
+    configure(mesh)
+    place = await mesh.add("a")
+    await mesh.add("b", service="other")
+    await mesh.settle(2.0)
+    place.target.cold_ms = 0.0
+    arrivals = record_arrivals(mesh, place)
+    for name in restarted:
+        await mesh.restart(mesh.places[name])
+    await mesh.settle(0.6)
+    load = Load(mesh)
+    await load.run(per_second=100, seconds=1.0)
+    assert most_in_a_second(arrivals) > BOUND
+    assert load.statuses.count(200) >= 95
