--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -214,7 +214,7 @@
         if own in change.evacuated:
             self.guard.refuse_waiting("domain_evacuated")
         if own in change.restored:
-            # Targets may have become cold meanwhile; the next report tells.
+            # The target may have become cold meanwhile.
             self.guard.assume_cold()
 
     # Probes and metrics.
