Log and export the limit that a target states, and what it was sent

Change: the guard reads the two headers of each answer, and logs a change with the request whose answer caused it (target_limit, target_states_leaving, target_limit_unreadable). Only an answer to a request that was sent after the limit was stated lifts it: answers overtake each other. Gauge target_limit, counter target_requests. Nothing is decided by them yet. The loads and arrivals of tests of cold targets move to tests/fakes/load.py, for other tests.

--- a/bench/standins/http_target.py
+++ b/bench/standins/http_target.py
@@ -63,6 +63,9 @@
       cold_ms: Remaining warm-up that health answers state, unless it is 0;
         None leaves health requests unanswered.
       cut_after: Whether the connection is closed after each answer.
+      limit: Requests per second that each answer states as its limit; None
+        states no limit.
+      leaving: Whether each answer states that the target is leaving.
       seen: Requests received, including those not executed.
       running: Number of requests that are running.
       most_running: Highest number of requests that ran at once.
@@ -77,6 +80,8 @@
     on_run: Callable[[Seen], None] | None = None
     cold_ms: float | None = None
     cut_after: bool = False
+    limit: float | None = None
+    leaving: bool = False
     seen: list[Seen] = dataclasses.field(default_factory=list)
     running: int = 0
     most_running: int = 0
@@ -90,6 +95,16 @@
         self.connections.append(connection)
         return connection
 
+    def with_stated(self, answer: bytes) -> bytes:
+        """Returns an answer with what the target states of itself."""
+        stated = b""
+        if self.limit is not None:
+            stated += f"Server-Limit: {self.limit}\r\n".encode()
+        if self.leaving:
+            stated += b"Server-Leaving: 1\r\n"
+        first, line_end, rest = answer.partition(b"\r\n")
+        return first + line_end + stated + rest
+
 
 class TargetConnection(asyncio.Protocol):
     """One connection to the target."""
@@ -140,7 +155,7 @@
         if cold_ms is None or self.transport is None:
             return
         stated = f"Currantcart-Cold-Ms: {cold_ms:.0f}\r\n" if cold_ms else ""
-        self.transport.write(
+        self.write(
             (
                 "HTTP/1.1 200 OK\r\n"
                 f"Currantcart-Instance-Id: {self.target.target_id}\r\n"
@@ -148,16 +163,19 @@
             ).encode()
         )
 
+    def write(self, answer: bytes) -> None:
+        """Writes an answer unless the connection has ended."""
+        if self.transport is not None:
+            self.transport.write(self.target.with_stated(answer))
+
     async def work(self, seen: Seen) -> None:
         target = self.target
         if target.shed_ratio and random.random() < target.shed_ratio:
-            if self.transport is not None:
-                self.transport.write(not_executed(seen))
+            self.write(not_executed(seen))
             return
         expected = seen.headers.get("currantcart-expect-instance")
         if expected not in (None, target.target_id):
-            if self.transport is not None:
-                self.transport.write(not_executed(seen, status=421))
+            self.write(not_executed(seen, status=421))
             return
         if target.on_run is not None:
             target.on_run(seen)
@@ -168,11 +186,9 @@
         finally:
             target.running -= 1
         answer = target.script(seen)
-        if self.transport is None:
-            return
         if answer is not None:
-            self.transport.write(answer)
-        if target.cut_after:
+            self.write(answer)
+        if target.cut_after and self.transport is not None:
             self.transport.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/src/currantcart/platform/names.py
+++ b/src/currantcart/platform/names.py
@@ -15,6 +15,8 @@
     seal="Currantcart-Server-Seal",
     instance="Currantcart-Instance-Id",
     cold="Currantcart-Cold-Ms",
+    limit="Server-Limit",
+    leaving="Server-Leaving",
 )
 OPERATOR_PREFIX = "op/"
 CONFIG_KEY = "op/config"
--- a/src/currantcart/proxy/header_names.py
+++ b/src/currantcart/proxy/header_names.py
@@ -25,6 +25,9 @@
       seal: Set by a target in responses that it generated itself.
       instance: Id of the target, in its health responses.
       cold: Remaining warm-up in milliseconds, in its health responses.
+      limit: Requests per second that a target accepts from all nodes together,
+        in each of its responses while it has such a limit.
+      leaving: Set to 1 by a target that is leaving, in each of its responses.
     """
 
     request_id: str
@@ -37,6 +40,8 @@
     seal: str
     instance: str
     cold: str
+    limit: str
+    leaving: str
 
 
 HOP_BY_HOP = frozenset(
@@ -68,6 +73,8 @@
       seal: See `HeaderNames`.
       instance: See `HeaderNames`.
       cold: See `HeaderNames`.
+      limit: See `HeaderNames`.
+      leaving: See `HeaderNames`.
       stripped: Headers that are not forwarded: `HOP_BY_HOP` and those that
         the node sets itself.
     """
@@ -79,6 +86,8 @@
     seal: bytes
     instance: bytes
     cold: bytes
+    limit: bytes
+    leaving: bytes
     stripped: frozenset[bytes]
 
     @classmethod
@@ -107,5 +116,7 @@
             seal=lower(names.seal),
             instance=lower(names.instance),
             cold=lower(names.cold),
+            limit=lower(names.limit),
+            leaving=lower(names.leaving),
             stripped=HOP_BY_HOP | set_by_node,
         )
--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -257,6 +257,7 @@
             "running": lambda: queue.running,
             "waiting": lambda: queue.waiting,
             "slots": lambda: queue.slots,
+            "target_limit": lambda: self.guard.statements.limit,
             "pressure": lambda: self.guard.gauge.level,
             "rates_exhausted": lambda: len(self.state_log.over_rate),
             "budgets_exhausted": lambda: len(self.state_log.spent),
--- a/src/currantcart/proxy/targets/guard.py
+++ b/src/currantcart/proxy/targets/guard.py
@@ -14,6 +14,7 @@
 from currantcart.proxy.targets import (
     cold_check,
     connectivity,
+    statements,
     target_exchange,
 )
 from currantcart.proxy.targets import job as job_module
@@ -42,6 +43,7 @@
       cold_assumed: Whether the target is taken as cold without knowing it.
       connectivity: Whether the target accepts connections.
       cold_check: Asks the target whether it is cold.
+      statements: What the target states about itself in its answers.
       queue: The target's slots and the queue of requests that wait for one.
       running: Requests that hold a slot, by object identity.
       by_request: The same requests, by request id.
@@ -79,6 +81,7 @@
             connections=self.exchange.pool,
             on_known=self.set_cold,
         )
+        self.statements = statements.Statements(context)
         self.gauge = pressure.Gauge()
         self.objective_ms = OBJECTIVE_MS
         self.called_pressure: Callable[[], pressure.Pressure] = dict
@@ -106,6 +109,8 @@
         """
         if target_id != self.target_id:
             self.exchange.reset()
+        if (target_id, born) != (self.target_id, self.born):
+            self.statements.reset()
         self.target_id = target_id
         self.born = born
         self.slot_count = slot_count
@@ -359,6 +364,13 @@
     def record_sent(self, now: float) -> None:
         """Counts a request that is sent to the target."""
         self.slow_start.record(now)
+        self.context.counts.add("target_requests")
+
+    def record_answer(
+        self, job: job_module.Job, answer: job_module.AnswerHead
+    ) -> None:
+        """Records what an answer of the target states about it."""
+        self.statements.record(job, answer)
 
     def start(self, job: job_module.Job) -> None:
         """Sends a request that holds a slot to the target."""
--- a/src/currantcart/proxy/targets/job.py
+++ b/src/currantcart/proxy/targets/job.py
@@ -15,6 +15,8 @@
 COULD_NOT_RUN = frozenset({400, 429, 503})
 # The target is not the expected one and did not run the request.
 MISDIRECTED = 421
+# Value of the header of a target that is leaving.
+LEAVING = b"1"
 
 
 class ReplyTo(Protocol):
@@ -75,12 +77,16 @@
       sealed: Whether it carries the target's seal or, as a response that is
         not a success, needs none.
       refused: Whether it states that the target did not run the request.
+      limit: Rate limit that the target states; None if it states none.
+      leaving: Whether the target states that it is leaving.
       head: End-to-end header lines.
     """
 
     request_id: bytes | None
     sealed: bool
     refused: bool
+    limit: bytes | None
+    leaving: bool
     head: bytes
 
 
@@ -94,6 +100,8 @@
       keys: Header names of the deployment.
     """
     request_id: bytes | None = None
+    limit: bytes | None = None
+    leaving = False
     sealed = response.status >= status.NO_SUCCESS
     not_executed = response.status == MISDIRECTED
     lines: list[bytes] = []
@@ -106,7 +114,13 @@
             continue
         elif key == keys.seal:
             sealed = True
+        elif key == keys.limit:
+            limit = value
+        elif key == keys.leaving:
+            leaving = value == LEAVING
         elif key in keys.stripped:
             continue
         lines.append(name + b": " + value + b"\r\n")
-    return AnswerHead(request_id, sealed, not_executed, b"".join(lines))
+    return AnswerHead(
+        request_id, sealed, not_executed, limit, leaving, b"".join(lines)
+    )
--- a/src/currantcart/proxy/targets/target_exchange.py
+++ b/src/currantcart/proxy/targets/target_exchange.py
@@ -34,6 +34,11 @@
     def record_sent(self, now: float) -> None:
         """Counts a request that is sent to the target."""
 
+    def record_answer(
+        self, job: job_module.Job, answer: job_module.AnswerHead
+    ) -> None:
+        """Records what an answer of the target states about it."""
+
     def load(self) -> dict[str, int]:
         """Returns the numbers of running and waiting requests and of slots."""
 
@@ -152,6 +157,7 @@
         shown = answer.request_id
         if shown is not None and shown != job.opening.request_id.encode():
             return False
+        self.slots.record_answer(job, answer)
         connection, job.connection = job.connection, None
         assert connection is not None
         now = self.context.now
--- a/tests/proxy/targets/test_cold_targets.py
+++ b/tests/proxy/targets/test_cold_targets.py
@@ -2,16 +2,12 @@
 
 from __future__ import annotations
 
-import asyncio
-import dataclasses
-import itertools
-
 import msgspec
 import pytest
 
-from bench.standins import http_target
 from currantcart.platform import names
 from currantcart.proxy import settings as proxy_settings
+from tests.fakes import load as load_module
 from tests.fakes import mesh as fake_mesh
 
 RATE = 6.5
@@ -25,95 +21,7 @@
 
 def most_in_a_second(arrivals: list[float]) -> int:
     """Returns the most arrivals in any one second."""
-    return max(
-        (
-            sum(first <= at < first + 1.0 for at in arrivals)
-            for first in arrivals
-        ),
-        default=0,
-    )
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Asked:
-    """A request of a caller.
-
-    Attributes:
-      kind: Route of the request.
-      at: When it was sent, in seconds of the loop's clock.
-      status: Status of the response.
-    """
-
-    kind: str
-    at: float
-    status: int
-
-
-class Load:
-    """Callers that send requests at a steady rate to all nodes in turn.
-
-    Attributes:
-      asked: Requests that have ended.
-    """
-
-    def __init__(self, mesh: fake_mesh.Mesh) -> None:
-        self.mesh = mesh
-        self.asked: list[Asked] = []
-        self.numbers = itertools.count()
-
-    @property
-    def statuses(self) -> list[int]:
-        return [asked.status for asked in self.asked]
-
-    async def one(self, place: fake_mesh.Place, number: int, kind: str) -> None:
-        at = self.mesh.loop.time()
-        data = fake_mesh.request(
-            f"/{kind}/1", request_id=f"l{number}", deadline=2_000
-        )
-        reply = await self.mesh.ask(place, data)
-        self.asked.append(Asked(kind, at, reply.status))
-
-    async def run(
-        self,
-        *,
-        per_second: float,
-        seconds: float,
-        kinds: tuple[str, ...] = ("read",),
-    ) -> None:
-        places = list(self.mesh.places.values())
-        tasks = []
-        for _ in range(round(per_second * seconds)):
-            number = next(self.numbers)
-            place = places[number % len(places)]
-            kind = kinds[number // len(places) % len(kinds)]
-            tasks.append(
-                self.mesh.loop.create_task(self.one(place, number, kind))
-            )
-            await asyncio.sleep(1 / per_second)
-        await asyncio.gather(*tasks)
-
-    def served(self, kind: str, begin: float, end: float) -> float:
-        """Returns the share served of a kind's requests of a time."""
-        statuses = [
-            asked.status
-            for asked in self.asked
-            if asked.kind == kind and begin <= asked.at < end
-        ]
-        return statuses.count(200) / len(statuses)
-
-
-def record_arrivals(
-    mesh: fake_mesh.Mesh, place: fake_mesh.Place
-) -> list[float]:
-    """Returns the times of the requests that a target gets from now on."""
-    arrivals: list[float] = []
-
-    def note(seen: http_target.Seen) -> None:
-        del seen
-        arrivals.append(mesh.loop.time())
-
-    place.target.on_run = note
-    return arrivals
+    return load_module.most_in(1.0, arrivals)
 
 
 async def test_all_nodes_together_stay_within_a_cold_targets_bound(
@@ -129,9 +37,9 @@
         warm.target.work_seconds = 0.5
     await mesh.settle(2.0)
     fresh = await mesh.add("n9", report=False)
-    arrivals = record_arrivals(mesh, fresh)
+    arrivals = load_module.record_arrivals(mesh, fresh)
     await mesh.report(fresh, cold=3.0)
-    load = Load(mesh)
+    load = load_module.Load(mesh)
     await load.run(per_second=200, seconds=2.5)
     assert load.statuses.count(200) >= 144 * 2.5
     assert RATE <= most_in_a_second(arrivals) <= BOUND
@@ -147,9 +55,9 @@
     await mesh.settle(2.0)
     arrivals = []
     for place in mesh.places.values():
-        arrivals.append(record_arrivals(mesh, place))
+        arrivals.append(load_module.record_arrivals(mesh, place))
         await mesh.report(place, cold=3.0)
-    load = Load(mesh)
+    load = load_module.Load(mesh)
     await load.run(per_second=200, seconds=2.5)
     for seen in arrivals:
         assert RATE <= most_in_a_second(seen) <= BOUND
@@ -167,12 +75,12 @@
     key = names.EVACUATIONS_PREFIX + "a"
     mesh.store.operate(key, b"{}")
     await mesh.settle(2.0)
-    arrivals = record_arrivals(mesh, mesh.places["a1"])
+    arrivals = load_module.record_arrivals(mesh, mesh.places["a1"])
     mesh.store.remove(key)
-    await Load(mesh).run(per_second=150, seconds=1.5)
+    await load_module.Load(mesh).run(per_second=150, seconds=1.5)
     assert 0 < most_in_a_second(arrivals) <= BOUND
     await mesh.report(mesh.places["a1"])
-    await Load(mesh).run(per_second=150, seconds=1.5)
+    await load_module.Load(mesh).run(per_second=150, seconds=1.5)
     assert most_in_a_second(arrivals) > BOUND
 
 
@@ -183,9 +91,9 @@
     place = await mesh.add("a", report=False)
     await mesh.add("b", service="other")
     await mesh.settle(2.0)
-    arrivals = record_arrivals(mesh, place)
+    arrivals = load_module.record_arrivals(mesh, place)
     await mesh.report(place, cold=3.0)
-    load = Load(mesh)
+    load = load_module.Load(mesh)
     task = mesh.loop.create_task(load.run(per_second=100, seconds=2.5))
     await mesh.settle(0.6)
     await mesh.restart(place)
@@ -206,8 +114,8 @@
     for name in "bc":
         await mesh.add(name)
     await mesh.settle(fake_mesh.SHARING_SECONDS)
-    stop_target(mesh, crashed)
-    load = Load(mesh)
+    load_module.stop_target(mesh, crashed)
+    load = load_module.Load(mesh)
     await load.run(per_second=100, seconds=2.0)
     assert load.statuses.count(200) >= len(load.statuses) - 2
     refused = [
@@ -228,11 +136,11 @@
     crashed = await mesh.add("a")
     await mesh.add("b", service="other")
     await mesh.settle(2.0)
-    stop_target(mesh, crashed)
-    await Load(mesh).run(per_second=100, seconds=1.0)
-    arrivals = record_arrivals(mesh, crashed)
-    await start_target(mesh, crashed)
-    await Load(mesh).run(per_second=100, seconds=1.5)
+    load_module.stop_target(mesh, crashed)
+    await load_module.Load(mesh).run(per_second=100, seconds=1.0)
+    arrivals = load_module.record_arrivals(mesh, crashed)
+    await load_module.start_target(mesh, crashed)
+    await load_module.Load(mesh).run(per_second=100, seconds=1.5)
     assert 0 < most_in_a_second(arrivals) <= BOUND
 
 
@@ -254,12 +162,12 @@
         mesh.kill(place)
         place.born += 1
         place.sequence = 0
-        arrivals[place.name] = record_arrivals(mesh, place)
+        arrivals[place.name] = load_module.record_arrivals(mesh, place)
     restarted_at = mesh.loop.time()
     for place in mesh.places.values():
         await mesh.restart(place)
         await mesh.report(place, cold=3.0)
-    load = Load(mesh)
+    load = load_module.Load(mesh)
     await load.run(per_second=180, seconds=10.0, kinds=("read", "pay"))
     for name, times in arrivals.items():
         cold = [at for at in times if at < restarted_at + 3.0]
@@ -288,7 +196,7 @@
 async def test_a_target_that_left_is_not_probed(mesh: fake_mesh.Mesh) -> None:
     place = await mesh.add("a")
     await mesh.settle(1.0)
-    stop_target(mesh, place)
+    load_module.stop_target(mesh, place)
     await mesh.ask(place, fake_mesh.request())
     await mesh.deregister(place)
     await mesh.settle(0.5)
@@ -297,21 +205,6 @@
     assert not dials
 
 
-def stop_target(mesh: fake_mesh.Mesh, place: fake_mesh.Place) -> None:
-    """Ends a target's process: its connections and its port are closed."""
-    host, port = proxy_settings.split_address(place.settings.target)
-    mesh.loop.ports.pop((host, port))
-    for connection in place.target.connections:
-        if connection.transport is not None:
-            connection.transport.abort()
-
-
-async def start_target(mesh: fake_mesh.Mesh, place: fake_mesh.Place) -> None:
-    """Starts a target's process again."""
-    host, port = proxy_settings.split_address(place.settings.target)
-    await mesh.loop.create_server(place.target.accept, host, port)
-
-
 @pytest.mark.parametrize("answers", [True, False])
 async def test_a_restarted_node_takes_its_target_as_cold_until_it_knows(
     mesh: fake_mesh.Mesh, *, answers: bool
@@ -326,10 +219,10 @@
     await mesh.add("b1", domain="b", service="other")
     await mesh.settle(2.0)
     place.target.cold_ms = 2_500.0 if answers else None
-    arrivals = record_arrivals(mesh, place)
+    arrivals = load_module.record_arrivals(mesh, place)
     await mesh.restart(place)
     await mesh.settle(0.4)
-    await Load(mesh).run(per_second=150, seconds=1.5)
+    await load_module.Load(mesh).run(per_second=150, seconds=1.5)
     assert 0 < most_in_a_second(arrivals) <= BOUND
 
 
@@ -347,11 +240,11 @@
     await mesh.add("b", service="other")
     await mesh.settle(2.0)
     place.target.cold_ms = 0.0
-    arrivals = record_arrivals(mesh, place)
+    arrivals = load_module.record_arrivals(mesh, place)
     for name in restarted:
         await mesh.restart(mesh.places[name])
     await mesh.settle(0.6)
-    load = Load(mesh)
+    load = load_module.Load(mesh)
     await load.run(per_second=100, seconds=1.0)
     assert most_in_a_second(arrivals) > BOUND
     assert load.statuses.count(200) >= 95
