Pace requests to a target by the limit that it states

What callers saw: nothing; the target got two to three times what it takes.

What a node knows of its target comes from the target's reports alone. Its answers were passed on without being read for what they say of the target, so its limit bound nothing. Ruled out: several processes that add up (one guard carries all requests), requests past the guard (it counts all of them).

Change: the guard reads the limit and paces what it sends by a token bucket (admission.target_rate); since every request to the target passes it, that bounds the whole fleet's. Requests wait up to 100 ms in order of importance, then are refused as target_limited and tried at another target. The limit also bounds the concurrency that is told to peers, which place by it, and is told them before the answer is passed on. A limit is lifted only by an answer to a request sent after it was stated. The next process of a node doesn't know it: unless the fleet starts for the first time it sends five requests a second until its target's first answer.

--- a/src/currantcart/admission/slots.py
+++ b/src/currantcart/admission/slots.py
@@ -1,8 +1,9 @@
 """Decides which requests run at a target, wait for a slot or are refused.
 
 All requests to a target pass its guard, so its slots are managed locally. The
-target never gets more requests than it runs concurrently. The others wait here
-in order of importance, where they can still be refused as "not run".
+target never gets more requests than it runs concurrently, nor more per second
+than it has stated. The others wait here in order of importance, where they can
+still be refused as "not run".
 """
 
 from __future__ import annotations
@@ -13,7 +14,7 @@
 import itertools
 from typing import Generic, TypeVar
 
-from currantcart.admission import occupancy
+from currantcart.admission import occupancy, target_rate
 
 Item = TypeVar("Item")
 
@@ -47,6 +48,11 @@
 """Multiple of the mean service time that a root's objective must allow for."""
 LATE_WAIT_OF_OBJECTIVE = 0.1
 """Share of the objective that a root may wait if it can no longer meet it."""
+RATE_WAIT_MS = 100.0
+"""Longest wait at a target that limits its rate, for an order of importance.
+
+Other targets of the service often have room at once.
+"""
 RETRY_AFTER_MIN_MS = 100.0
 RETRY_AFTER_MAX_MS = 2_000.0
 
@@ -104,13 +110,15 @@
       slots: Requests that may run concurrently.
       running: Requests that are running.
       waiting: Requests that are waiting.
+      rate: Requests per second that the target accepts.
       occupancy: Slot usage by kind of request.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, rate: target_rate.TargetRate | None = None) -> None:
         self.slots = 0
         self.running = 0
         self.waiting = 0
+        self.rate = rate or target_rate.TargetRate()
         self.occupancy = occupancy.Occupancy()
         self.heap: list[tuple[int, int, Ticket[Item]]] = []
         self.ranks: dict[int, int] = {}
@@ -120,15 +128,26 @@
         """Sets the slots from the number that the target announces."""
         self.slots = max(1, int(slots * USED_SLOTS_SHARE))
 
-    def expected_wait_ms(self, priority: int) -> float:
+    def expected_wait_ms(self, priority: int, now: float) -> float:
         """Returns the expected wait of a new request of a priority, in ms."""
+        ahead = sum(self.ahead_of(priority).values())
+        rate_wait_ms = self.rate.wait_ms(now, ahead=ahead)
+        return max(rate_wait_ms, self.slot_wait_ms(priority))
+
+    def slot_wait_ms(self, priority: int) -> float:
+        """Returns the expected wait of a new request for a slot, in ms."""
         if self.running < self.slots:
             return 0.0
+        ahead = self.ahead_of(priority)
+        return self.occupancy.wait_ms(kind_of(priority), ahead, self.slots)
+
+    def ahead_of(self, priority: int) -> dict[occupancy.Kind, int]:
+        """Returns how many requests wait before one of a priority, by kind."""
         ahead = dict.fromkeys(occupancy.Kind, 0)
         for rank, count in self.ranks.items():
             if rank <= priority:
                 ahead[kind_of(rank)] += count
-        return self.occupancy.wait_ms(kind_of(priority), ahead, self.slots)
+        return ahead
 
     def wait_limit_ms(
         self,
@@ -137,6 +156,20 @@
         objective_ms: float,
         age_ms: float,
         left_ms: float,
+    ) -> float:
+        """Returns how long a request may wait, in ms."""
+        wait_ms = self.slot_wait_limit_ms(
+            priority, objective_ms=objective_ms, age_ms=age_ms, left_ms=left_ms
+        )
+        return min(wait_ms, RATE_WAIT_MS) if self.rate.is_limited else wait_ms
+
+    def slot_wait_limit_ms(
+        self,
+        priority: int,
+        *,
+        objective_ms: float,
+        age_ms: float,
+        left_ms: float,
     ) -> float:
         """Returns how long a request may wait for a slot, in ms.
 
@@ -189,10 +222,10 @@
             left_ms=expires_at - now,
         )
         ticket = Ticket(item, priority, now + wait_limit)
-        if self.running < self.slots and self.waiting == 0:
+        if self.waiting == 0 and self.may_start(now):
             self.assign_slot(ticket, now)
             return Verdict.RUN, ticket
-        if self.expected_wait_ms(priority) > wait_limit:
+        if self.expected_wait_ms(priority, now) > wait_limit:
             ticket.discarded = True
             return Verdict.REFUSE, ticket
         heapq.heappush(self.heap, (priority, next(self.numbers), ticket))
@@ -200,6 +233,10 @@
         self.ranks[priority] = self.ranks.get(priority, 0) + 1
         return Verdict.WAIT, ticket
 
+    def may_start(self, now: float) -> bool:
+        """Returns whether a slot is free and the rate allows a request."""
+        return self.running < self.slots and not self.rate.wait_ms(now)
+
     def withdraw(self, ticket: Ticket[Item]) -> None:
         """Removes a request from the queue, unless it has left it already."""
         if not ticket.discarded and ticket.started_at < 0:
@@ -214,6 +251,7 @@
     def assign_slot(self, ticket: Ticket[Item], now: float) -> None:
         """Assigns a slot to a request."""
         self.running += 1
+        self.rate.take(now)
         ticket.started_at = now
         self.occupancy.start(kind_of(ticket.priority), now, self.slots)
 
@@ -230,6 +268,7 @@
     def release_unused(self, ticket: Ticket[Item], now: float) -> None:
         """Frees the slot of a request that did not start."""
         self.running -= 1
+        self.rate.give_back()
         self.occupancy.end(
             kind_of(ticket.priority), now, self.slots, held_ms=None
         )
@@ -238,9 +277,9 @@
         """Assigns a free slot to the most urgent waiting request.
 
         Returns:
-          Its ticket; None if no slot is free or no request waits.
+          Its ticket; None if none may start or no request waits.
         """
-        while self.heap and self.running < self.slots:
+        while self.heap and self.may_start(now):
             ticket = heapq.heappop(self.heap)[2]
             if ticket.discarded:
                 continue
@@ -263,8 +302,11 @@
             heapq.heapify(self.heap)
         return late
 
-    def retry_after_ms(self) -> float:
+    def retry_after_ms(self, now: float) -> float:
         """Returns the delay until the queue should have drained, in ms."""
         mean_ms = self.occupancy.mean_ms()
-        drained_ms = (self.waiting + 1) * mean_ms / max(1, self.slots)
+        drained_ms = max(
+            (self.waiting + 1) * mean_ms / max(1, self.slots),
+            self.rate.wait_ms(now, ahead=self.waiting),
+        )
         return min(RETRY_AFTER_MAX_MS, max(RETRY_AFTER_MIN_MS, drained_ms))
--- a/src/currantcart/proxy/requests/outbound.py
+++ b/src/currantcart/proxy/requests/outbound.py
@@ -30,7 +30,7 @@
 They tell nothing of the load of the others, so more of them are tried.
 """
 UNAVAILABLE = frozenset(
-    {"domain_evacuated", "target_cold", "target_unreachable"}
+    {"domain_evacuated", "target_cold", "target_limited", "target_unreachable"}
 )
 """Refusals for a while, whatever the load: another target may have room."""
 UNREADY_RETRY_MS = 400.0
--- a/src/currantcart/proxy/settings.py
+++ b/src/currantcart/proxy/settings.py
@@ -73,6 +73,8 @@
       store: Address of the platform's store.
       bounds: Time limits and ratios of the deployment.
       descriptors: File descriptors that the process may open.
+      first_start: Whether the whole fleet starts for the first time, so that
+        no earlier process of the node has used the target.
     """
 
     instance: str
@@ -84,6 +86,7 @@
     store: str
     bounds: Bounds = Bounds()
     descriptors: Annotated[int, msgspec.Meta(ge=512)] = 4_096
+    first_start: bool = False
 
 
 def split_address(value: str) -> tuple[str, int]:
--- a/src/currantcart/proxy/targets/guard.py
+++ b/src/currantcart/proxy/targets/guard.py
@@ -6,7 +6,7 @@
 import math
 from collections.abc import Callable
 
-from currantcart.admission import pressure, slots, slow_start
+from currantcart.admission import pressure, slots, slow_start, target_rate
 from currantcart.call import lineage
 from currantcart.catalog import model as catalog_model
 from currantcart.proxy import context as proxy_context
@@ -66,7 +66,11 @@
         self.slow_start = slow_start.SlowStart(started_at=context.now)
         self.cold_assumed = False
         self.configure_slow_start()
-        self.queue: slots.SlotQueue[job_module.Job] = slots.SlotQueue()
+        self.queue: slots.SlotQueue[job_module.Job] = slots.SlotQueue(
+            target_rate.TargetRate()
+            if context.settings.first_start
+            else target_rate.unknown()
+        )
         self.running: dict[int, job_module.Job] = {}
         self.by_request: dict[str, job_module.Job] = {}
         self.exchange = target_exchange.TargetExchange(context, self)
@@ -110,7 +114,7 @@
         if target_id != self.target_id:
             self.exchange.reset()
         if (target_id, born) != (self.target_id, self.born):
-            self.statements.reset()
+            self.reset_statements()
         self.target_id = target_id
         self.born = born
         self.slot_count = slot_count
@@ -122,6 +126,15 @@
             self.refuse_waiting("target_leaving")
         self.run_waiting()
 
+    def reset_statements(self) -> None:
+        """Forgets what an earlier incarnation of the target has stated.
+
+        A limit stays unknown until the first answer to this process.
+        """
+        self.statements.reset()
+        if self.queue.rate.is_known:
+            self.queue.rate.set_limit(self.statements.limit, self.context.now)
+
     def configure_slow_start(self) -> None:
         """Applies the limit for a cold target of a new configuration.
 
@@ -226,25 +239,32 @@
         own = self.context.settings.failure_domain
         return own in self.context.evacuations.domains
 
-    def life_cycle(self) -> tuple[str, int, bool, bool]:
+    def life_cycle(self) -> tuple[str, int, bool, bool, float]:
         """Returns what is published at once when it has changed.
 
-        These are the target's id and incarnation, whether it accepts requests
-        and whether peers may place on it.
+        These are the target's id and incarnation, whether it accepts requests,
+        whether peers may place on it, and its stated limit.
         """
-        return self.target_id, self.born, self.ready, self.is_open
+        return (
+            self.target_id,
+            self.born,
+            self.ready,
+            self.is_open,
+            self.statements.limit,
+        )
 
     def limit(self) -> int:
         """Returns the requests that the target is given concurrently.
 
-        A cold target is given as many as its rate comes to: peers then place
-        on it in that proportion, and its overload weighs no more.
+        A target with a rate limit is given as many as its rate comes to: peers
+        then place on it in that proportion, and its overload weighs no more.
         """
-        if not self.slow_start.is_limited(self.context.now):
+        per_second = self.statements.limit
+        if self.slow_start.is_limited(self.context.now):
+            per_second = min(per_second, self.slow_start.limit)
+        if per_second == math.inf:
             return self.queue.slots
-        concurrent = (
-            self.slow_start.limit * self.exchange.work_time.reported_ms / 1e3
-        )
+        concurrent = per_second * self.exchange.work_time.reported_ms / 1e3
         return max(1, min(self.queue.slots, round(concurrent)))
 
     def pressure(self) -> pressure.Pressure:
@@ -260,14 +280,14 @@
         Returns:
           Whether the change is large enough to be published at once.
         """
-        if not self.admits or self.is_evacuated:
-            # The load of a target that gets no requests is unknown and must
-            # not count as overload.
+        if not (self.admits and self.queue.rate.is_known) or self.is_evacuated:
+            # The load of a target that gets no requests, or has not answered
+            # yet, is unknown and must not count as overload.
             self.gauge.level = 0.0
             return False
         before = self.gauge.level
         changed = self.gauge.update(
-            wait_ms=self.queue.expected_wait_ms(slots.CALLS_PRIORITY),
+            wait_ms=self.queue.slot_wait_ms(slots.CALLS_PRIORITY),
             objective_ms=self.objective_ms,
             utilization=self.queue.running / max(1, self.queue.slots),
             now=self.context.now,
@@ -334,8 +354,7 @@
         if verdict is slots.Verdict.RUN:
             self.start(job)
         elif verdict is slots.Verdict.REFUSE:
-            self.gauge.count_offer(refused=True)
-            self.refuse(job, "queue_full")
+            self.refuse_for_load(job, "queue_full")
         elif self.sweeping is None:
             self.sweeping = self.loop.call_later(SWEEP_SECONDS, self.sweep)
         return job
@@ -369,8 +388,18 @@
     def record_answer(
         self, job: job_module.Job, answer: job_module.AnswerHead
     ) -> None:
-        """Records what an answer of the target states about it."""
-        self.statements.record(job, answer)
+        """Applies what an answer of the target states about it.
+
+        Peers are told before the answer is passed on. They tell it to the next
+        process of this node, which has not seen the answer.
+        """
+        before = self.statements.limit
+        if not self.statements.record(job, answer):
+            return
+        limit = self.statements.limit
+        self.queue.rate.set_limit(limit, self.context.now)
+        if limit != before:
+            self.publish()
 
     def start(self, job: job_module.Job) -> None:
         """Sends a request that holds a slot to the target."""
@@ -444,9 +473,9 @@
         reply, job.reply = job.reply, None
         if reply is None:
             return
+        now = self.context.now
         after = max(
-            self.queue.retry_after_ms(),
-            self.slow_start.wait_ms(self.context.now),
+            self.queue.retry_after_ms(now), self.slow_start.wait_ms(now)
         )
         self.context.counts.add("guard_refusals", code)
         self.context.log.event(
@@ -459,6 +488,22 @@
         )
         reply.refused(code, at_target=at_target, retry_after_ms=after)
 
+    def refuse_for_load(self, job: job_module.Job, code: str) -> None:
+        """Refuses a request for which the target has no room.
+
+        A target that limits its rate refuses even where the others of its
+        service have room, so its refusals show no overload.
+
+        Args:
+          job: The request.
+          code: Reason of the refusal at a target without a limit.
+        """
+        if self.queue.rate.is_limited:
+            self.refuse(job, "target_limited")
+            return
+        self.gauge.count_offer(refused=True)
+        self.refuse(job, code)
+
     def refuse_waiting(self, code: str) -> None:
         """Refuses all waiting requests."""
         for _, _, ticket in list(self.queue.heap):
@@ -467,10 +512,13 @@
                 self.refuse(ticket.item, code)
 
     def sweep(self) -> None:
-        """Refuses requests that have exceeded their longest wait."""
+        """Starts requests that the target's rate allows by now.
+
+        Refuses those that have exceeded their longest wait.
+        """
         self.sweeping = None
+        self.run_waiting()
         for ticket in self.queue.remove_overdue(self.context.now):
-            self.gauge.count_offer(refused=True)
-            self.refuse(ticket.item, "waited_too_long")
+            self.refuse_for_load(ticket.item, "waited_too_long")
         if self.queue.waiting:
             self.sweeping = self.loop.call_later(SWEEP_SECONDS, self.sweep)
--- a/src/currantcart/proxy/targets/statements.py
+++ b/src/currantcart/proxy/targets/statements.py
@@ -33,10 +33,14 @@
 
     def record(
         self, job: job_module.Job, answer: job_module.AnswerHead
-    ) -> None:
-        """Records what an answer to a request states."""
+    ) -> bool:
+        """Records what an answer to a request states.
+
+        Returns:
+          Whether the answer is of the present incarnation.
+        """
         if job.handed_at < self.since:
-            return
+            return False
         if answer.limit is not None:
             self.record_limit(job, answer.limit)
         elif job.handed_at > self.limited_at:
@@ -46,6 +50,7 @@
         if answer.leaving and not self.leaving:
             self.leaving = True
             self.log("target_states_leaving", job)
+        return True
 
     def record_limit(self, job: job_module.Job, stated: bytes) -> None:
         """Records a stated limit, unless it is no valid number."""
--- a/tests/admission/test_slots.py
+++ b/tests/admission/test_slots.py
@@ -67,6 +67,27 @@
     assert slot_queue.waiting == 0
 
 
+def test_a_limited_target_starts_the_most_urgent_when_its_rate_allows() -> None:
+    slot_queue = queue(10)
+    slot_queue.rate.set_limit(20.0, 0.0)
+    assert offer(slot_queue, "later", priority=7)[0] is slots.Verdict.WAIT
+    assert offer(slot_queue, "sooner", priority=3)[0] is slots.Verdict.WAIT
+    assert slot_queue.start_next(49.0) is None
+    ticket = slot_queue.start_next(50.0)
+    assert ticket is not None
+    assert ticket.item == "sooner"
+    assert slot_queue.start_next(50.0) is None
+
+
+def test_a_limited_target_refuses_at_once_what_would_wait_longer() -> None:
+    """Another target of the service may have room."""
+    slot_queue = queue(10)
+    slot_queue.rate.set_limit(15.0, 0.0)
+    assert offer(slot_queue, "first")[0] is slots.Verdict.WAIT
+    assert offer(slot_queue, "second")[0] is slots.Verdict.REFUSE
+    assert slot_queue.retry_after_ms(0.0) >= 130.0
+
+
 def test_a_withdrawn_request_gets_no_slot() -> None:
     slot_queue = queue(1)
     _, first = offer(slot_queue, "running")
--- a/tests/fakes/mesh.py
+++ b/tests/fakes/mesh.py
@@ -11,6 +11,7 @@
 from typing import Any, cast
 
 import httptools
+import msgspec
 
 from bench.standins import http_target
 from currantcart import clock as clock_module
@@ -264,6 +265,7 @@
                 reports=f"{ip}:8002",
             ),
             store="10.9.9.9:1",
+            first_start=True,
         )
 
     async def add(
@@ -325,6 +327,9 @@
     async def restart(self, place: Place) -> None:
         """Kills a node and starts it again without any of its state."""
         self.kill(place)
+        place.settings = msgspec.structs.replace(
+            place.settings, first_start=False
+        )
         place.node = self.build(place.settings)
         await self.start(place)
 
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -29,10 +29,10 @@
         assert f"{name}==" in node_requirements.TARGET.read_text()
 
 
-@pytest.mark.parametrize("has_cold_bounds", [True, False])
-def test_the_template_renders_valid_settings(*, has_cold_bounds: bool) -> None:
+@pytest.mark.parametrize("has_optional", [True, False])
+def test_the_template_renders_valid_settings(*, has_optional: bool) -> None:
     text = (DEPLOY / "settings.json").read_text()
-    text = SECTION.sub(r"\2" if has_cold_bounds else "", text)
+    text = SECTION.sub(r"\2" if has_optional else "", text)
 
     def fill(found: re.Match[str]) -> str:
         placeholder = found.group()
@@ -55,9 +55,10 @@
     assert settings.listen.peers == "10.0.0.1:7000"
     assert settings.bounds.revoke_seconds == 2.5
     default = proxy_settings.Bounds().cold_slack
-    cold_slack = 2.5 if has_cold_bounds else default
+    cold_slack = 2.5 if has_optional else default
     assert settings.bounds.cold_slack == cold_slack
     assert settings.descriptors == 4_100
+    assert settings.first_start == has_optional
 
 
 def test_a_signal_during_the_start_does_not_end_the_process() -> None:
