Report with answers the limit that statuses report

Cause: answers and refusals told the target's slots where statuses tell the concurrency that a cold or limited target is given. Until the next status, up to 0.4 s later, the caller's node took the target for one with much room.

Change: both tell the guard's limit. The new test fails before (18 where 1 is told by the status) and passes now.

--- a/src/currantcart/proxy/targets/inbound.py
+++ b/src/currantcart/proxy/targets/inbound.py
@@ -61,7 +61,7 @@
     def answered(self, status: int, head: bytes, body: bytes) -> None:
         """Sends the target's response to the peer."""
         self.release()
-        number, queue = self.opening.call, self.inbound.guard.queue
+        number = self.opening.call
         first, more = frames.first_chunk(body)
         self.link.send(
             frames.Answer(
@@ -71,7 +71,7 @@
                 body=first,
                 more=more,
                 busy=self.inbound.guard.busy,
-                limit=queue.slots,
+                limit=self.inbound.guard.limit(),
             )
         )
         frames.send_rest(number, body, self.link.send)
@@ -88,7 +88,7 @@
                 at_target=at_target,
                 retry_after_ms=retry_after_ms,
                 busy=self.inbound.guard.busy,
-                limit=self.inbound.guard.queue.slots,
+                limit=self.inbound.guard.limit(),
             )
         )
 
@@ -100,7 +100,7 @@
                 call=self.opening.call,
                 code=code,
                 busy=self.inbound.guard.busy,
-                limit=self.inbound.guard.queue.slots,
+                limit=self.inbound.guard.limit(),
             )
         )
 
--- a/tests/proxy/targets/test_cold_targets.py
+++ b/tests/proxy/targets/test_cold_targets.py
@@ -248,3 +248,18 @@
     await load.run(per_second=100, seconds=1.0)
     assert most_in_a_second(arrivals) > BOUND
     assert load.statuses.count(200) >= 95
+
+
+async def test_answers_report_the_limit_that_statuses_report(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """Placement takes a cold target for a warm one until the next status."""
+    configure(mesh)
+    front = await mesh.add("a", service="other")
+    cold = await mesh.add("b", report=False)
+    await mesh.settle(2.0)
+    await mesh.report(cold, cold=3.0)
+    await mesh.settle(0.5)
+    assert (await mesh.ask(front, fake_mesh.request())).status == 200
+    peer = front.node.peers.by_instance["b"]
+    assert peer.target.limit == cold.node.guard.limit() == 1
