Stop requests to a target whose answers say that it leaves

Its leave counted only where its report of it was acknowledged; a report that is late, lost or behind an older one left it in use.

Change: the first answer that says so is a leave of that incarnation, like one that a peer tells: admission stops, peers are told before the answer is passed on, the entry in the store is written again. Both ways share TargetReports.apply_leave. A ready report of the same incarnation changes nothing; a later incarnation is used.

--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -123,10 +123,11 @@
             context,
             local_guard=self.guard,
             quotas=self.quotas,
-            record=self.record,
             feed=self.feed,
             on_status=self.peer_status_received.set,
-            on_target_left=lambda: self.registration.mark_dirty(),
+            on_target_left=lambda target_id, born: self.reports.apply_leave(
+                target_id, born
+            ),
         )
         self.peers = peers.Peers(
             context,
@@ -176,6 +177,7 @@
             publish=self.peers.publish,
             hold=self.background.hold,
         )
+        self.guard.on_leaving = self.reports.apply_leave
         self.state_log = state_log.StateLog(
             context, quotas=self.quotas, budgets=self.outbound.retries.budgets
         )
--- a/src/currantcart/proxy/statuses.py
+++ b/src/currantcart/proxy/statuses.py
@@ -5,7 +5,6 @@
 import math
 from collections.abc import Callable
 
-from currantcart.fleet import target_record
 from currantcart.proxy import context as proxy_context
 from currantcart.proxy.streams import config_feed, frames, link
 from currantcart.proxy.streams import peer as peer_module
@@ -32,10 +31,9 @@
         *,
         local_guard: guard.Guard,
         quotas: quota.Quotas,
-        record: target_record.TargetRecord,
         feed: config_feed.ConfigFeed,
         on_status: Callable[[], None],
-        on_target_left: Callable[[], None],
+        on_target_left: Callable[[str, int], None],
     ) -> None:
         """Initializes the component; `peers` is set later by the node.
 
@@ -43,16 +41,14 @@
           context: Shared state of the node.
           local_guard: Guard of the local target.
           quotas: Rate limits of workspaces.
-          record: Last report of the local target.
           feed: Source of the configuration.
           on_status: Called for each status received from a peer.
-          on_target_left: Called when a peer's status reports that the local
-            target is leaving and this node did not know.
+          on_target_left: Called with the id and incarnation of the local
+            target when a peer's status reports that it is leaving.
         """
         self.context = context
         self.guard = local_guard
         self.quotas = quotas
-        self.record = record
         self.feed = feed
         self.on_status = on_status
         self.on_target_left = on_target_left
@@ -96,9 +92,8 @@
     ) -> None:
         """Applies a status received from a peer."""
         self.on_status()
-        if status.left and self.record.apply_leave(*status.left):
-            self.guard.mark_target_leaving()
-            self.on_target_left()
+        if status.left:
+            self.on_target_left(*status.left)
         self.feed.handle_status(peer, item, status)
         self.apply_counts(peer, status.counts)
 
--- a/src/currantcart/proxy/targets/guard.py
+++ b/src/currantcart/proxy/targets/guard.py
@@ -52,6 +52,8 @@
       objective_ms: Moving average of the requests' latency objectives.
       called_pressure: Returns the pressure of the services that the target
         calls; set by the node.
+      on_leaving: Called with the target's id and incarnation when it states
+        that it is leaving; set by the node.
       publish: Sends the node's status to its peers; set by the node.
       sweeping: Timer of the next sweep; None while no request waits.
     """
@@ -89,6 +91,7 @@
         self.gauge = pressure.Gauge()
         self.objective_ms = OBJECTIVE_MS
         self.called_pressure: Callable[[], pressure.Pressure] = dict
+        self.on_leaving: Callable[[str, int], object] = lambda _id, _born: None
         self.publish: Callable[[], None] = lambda: None
         self.sweeping: asyncio.TimerHandle | None = None
 
@@ -400,6 +403,8 @@
         self.queue.rate.set_limit(limit, self.context.now)
         if limit != before:
             self.publish()
+        if self.statements.leaving and self.ready:
+            self.on_leaving(self.target_id, self.born)
 
     def start(self, job: job_module.Job) -> None:
         """Sends a request that holds a slot to the target."""
--- a/src/currantcart/proxy/targets/target_reports.py
+++ b/src/currantcart/proxy/targets/target_reports.py
@@ -113,6 +113,21 @@
             # this process.
             await self.persist()
 
+    def apply_leave(self, target_id: str, born: int) -> None:
+        """Stops admission to a target that leaves, as another source tells.
+
+        The sources are the target's own answers and peers.
+
+        Args:
+          target_id: Id of the target.
+          born: Start of its incarnation, in milliseconds since 1970.
+        """
+        if not self.record.apply_leave(target_id, born):
+            return
+        self.guard.mark_target_leaving()
+        self.publish()
+        self.registration.mark_dirty()
+
     async def persist(self) -> None:
         """Writes the node's entry to the store, waiting a limited time.
 
