Serve the most urgent where all targets of a service state a limit

Cause: a refusal closed the limited target to all requests of the node for a while, and refusals there raised no pressure.

Change: a refusal at a limited target raises pressure if another target has refused the request before (Open says how many were tried); one limited target among others with room still raises none. Such a request may wait as long as at any target, by importance, and a limited target isn't closed: its load says how full it is.

--- a/src/currantcart/admission/slots.py
+++ b/src/currantcart/admission/slots.py
@@ -12,6 +12,7 @@
 import enum
 import heapq
 import itertools
+import math
 from typing import Generic, TypeVar
 
 from currantcart.admission import occupancy, target_rate
@@ -48,11 +49,6 @@
 """Multiple of the mean service time that a root's objective must allow for."""
 LATE_WAIT_OF_OBJECTIVE = 0.1
 """Share of the objective that a root may wait if it can no longer meet it."""
-RATE_WAIT_MS = 100.0
-"""Longest wait at a target that limits its rate, for an order of importance.
-
-Other targets of the service often have room at once.
-"""
 RETRY_AFTER_MIN_MS = 100.0
 RETRY_AFTER_MAX_MS = 2_000.0
 
@@ -156,20 +152,6 @@
         objective_ms: float,
         age_ms: float,
         left_ms: float,
-    ) -> float:
-        """Returns how long a request may wait, in ms."""
-        wait_ms = self.slot_wait_limit_ms(
-            priority, objective_ms=objective_ms, age_ms=age_ms, left_ms=left_ms
-        )
-        return min(wait_ms, RATE_WAIT_MS) if self.rate.is_limited else wait_ms
-
-    def slot_wait_limit_ms(
-        self,
-        priority: int,
-        *,
-        objective_ms: float,
-        age_ms: float,
-        left_ms: float,
     ) -> float:
         """Returns how long a request may wait for a slot, in ms.
 
@@ -201,6 +183,7 @@
         objective_ms: float,
         expires_at: float,
         age_ms: float = 0.0,
+        wait_ms_max: float = math.inf,
     ) -> tuple[Verdict, Ticket[Item]]:
         """Decides whether a request runs, waits or is refused.
 
@@ -211,6 +194,7 @@
           objective_ms: Latency objective of the request.
           expires_at: When its caller stops waiting.
           age_ms: How long its caller has waited so far.
+          wait_ms_max: Longest wait in any case.
 
         Returns:
           The decision, and the ticket of the request.
@@ -221,6 +205,7 @@
             age_ms=age_ms,
             left_ms=expires_at - now,
         )
+        wait_limit = min(wait_limit, wait_ms_max)
         ticket = Ticket(item, priority, now + wait_limit)
         if self.waiting == 0 and self.may_start(now):
             self.assign_slot(ticket, now)
--- a/src/currantcart/proxy/requests/attempts.py
+++ b/src/currantcart/proxy/requests/attempts.py
@@ -66,6 +66,7 @@
             body=request.body,
             more=0,
             age_ms=now - request.head_received_at,
+            placed_before=len(call.outcomes) - 1,
             from_retry=call.lineage.is_retry or call.handed_to_targets > 0,
         )
 
--- a/src/currantcart/proxy/requests/outbound.py
+++ b/src/currantcart/proxy/requests/outbound.py
@@ -29,10 +29,14 @@
 
 They tell nothing of the load of the others, so more of them are tried.
 """
-UNAVAILABLE = frozenset(
-    {"domain_evacuated", "target_cold", "target_limited", "target_unreachable"}
-)
-"""Refusals for a while, whatever the load: another target may have room."""
+CLOSED = frozenset({"domain_evacuated", "target_cold", "target_unreachable"})
+"""Refusals of all requests for a while."""
+UNAVAILABLE = CLOSED | {"target_limited"}
+"""Refusals whatever the load of the service: another target may have room.
+
+A target with a rate limit refuses the less urgent requests, so it is not closed
+to all of them.
+"""
 UNREADY_RETRY_MS = 400.0
 
 
@@ -233,7 +237,7 @@
         """
         self.context.counts.add("attempts", call.service, code)
         self.attempts.apply_event(call, attempt.Event.REFUSE)
-        if code in UNAVAILABLE and call.target is not None:
+        if code in CLOSED and call.target is not None:
             call.target.closed_until = self.context.now + retry_after_ms
         self.attempts.end_attempt(call, failed=at_target)
         call.last_code = code
--- a/src/currantcart/proxy/streams/frames.py
+++ b/src/currantcart/proxy/streams/frames.py
@@ -153,6 +153,7 @@
       more: Bytes of the body that follow in `Data`.
       from_retry: Whether it is a retry, or a call made by a retry.
       age_ms: How long its caller had waited when it was sent.
+      placed_before: How many other targets it was sent to before.
     """
 
     call: int
@@ -169,6 +170,7 @@
     more: int
     from_retry: bool = False
     age_ms: float = 0.0
+    placed_before: int = 0
 
 
 class Data(msgspec.Struct, array_like=True, tag=5):
--- a/src/currantcart/proxy/targets/guard.py
+++ b/src/currantcart/proxy/targets/guard.py
@@ -24,6 +24,11 @@
 SWEEP_SECONDS = 0.02
 ASSUMED_COLD_MS = 3_000.0
 """Warm-up assumed while the service's own is not known."""
+LIMITED_WAIT_MS = 100.0
+"""Longest wait at a target with a rate limit, before others were tried.
+
+Other targets of the service often have room at once.
+"""
 # Latency objective assumed before the first request.
 OBJECTIVE_MS = 300.0
 # Weight of each request's objective in the moving average.
@@ -292,7 +297,9 @@
         changed = self.gauge.update(
             wait_ms=self.queue.slot_wait_ms(slots.CALLS_PRIORITY),
             objective_ms=self.objective_ms,
-            utilization=self.queue.running / max(1, self.queue.slots),
+            utilization=1.0
+            if self.queue.rate.wait_ms(self.context.now)
+            else self.queue.running / max(1, self.queue.slots),
             now=self.context.now,
         )
         if changed or (before > 0) != (self.gauge.level > 0):
@@ -351,6 +358,7 @@
             objective_ms=opening.objective_ms,
             expires_at=expires_at,
             age_ms=opening.age_ms,
+            wait_ms_max=self.wait_ms_max(opening),
         )
         if verdict is not slots.Verdict.REFUSE:
             self.gauge.count_offer(refused=False)
@@ -362,6 +370,12 @@
             self.sweeping = self.loop.call_later(SWEEP_SECONDS, self.sweep)
         return job
 
+    def wait_ms_max(self, opening: frames.Open) -> float:
+        """Returns how long a request may wait whatever its objective allows."""
+        if self.queue.rate.is_limited and not opening.placed_before:
+            return LIMITED_WAIT_MS
+        return math.inf
+
     def refusal_reason(self, job: job_module.Job, now: float) -> str:
         """Returns why a request cannot run; empty if it can.
 
@@ -497,17 +511,17 @@
         """Refuses a request for which the target has no room.
 
         A target that limits its rate refuses even where the others of its
-        service have room, so its refusals show no overload.
+        service have room. There only the refusal of a request that another
+        target has refused before shows overload.
 
         Args:
           job: The request.
           code: Reason of the refusal at a target without a limit.
         """
-        if self.queue.rate.is_limited:
-            self.refuse(job, "target_limited")
-            return
-        self.gauge.count_offer(refused=True)
-        self.refuse(job, code)
+        is_limited = self.queue.rate.is_limited
+        if not is_limited or job.opening.placed_before:
+            self.gauge.count_offer(refused=True)
+        self.refuse(job, "target_limited" if is_limited else code)
 
     def refuse_waiting(self, code: str) -> None:
         """Refuses all waiting requests."""
--- a/tests/admission/test_slots.py
+++ b/tests/admission/test_slots.py
@@ -83,8 +83,18 @@
     """Another target of the service may have room."""
     slot_queue = queue(10)
     slot_queue.rate.set_limit(15.0, 0.0)
-    assert offer(slot_queue, "first")[0] is slots.Verdict.WAIT
-    assert offer(slot_queue, "second")[0] is slots.Verdict.REFUSE
+    verdicts = [
+        slot_queue.offer(
+            "r",
+            priority=5,
+            now=0.0,
+            objective_ms=1_000.0,
+            expires_at=4_000.0,
+            wait_ms_max=100.0,
+        )[0]
+        for _ in range(2)
+    ]
+    assert verdicts == [slots.Verdict.WAIT, slots.Verdict.REFUSE]
     assert slot_queue.retry_after_ms(0.0) >= 130.0
 
 
--- a/tests/proxy/targets/test_stated_limits.py
+++ b/tests/proxy/targets/test_stated_limits.py
@@ -210,3 +210,23 @@
     await mesh.report(left)
     await load.run(per_second=100, seconds=1.0)
     assert len(arrivals) >= 30
+
+
+async def test_the_most_urgent_are_served_where_all_targets_state_a_limit(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """Three targets take 15 of 60 requests per second, of which 6 are urgent.
+
+    Refused without regard to importance, one in four would be served.
+    """
+    urgent = fake_mesh.route("pay", "grades")
+    other = fake_mesh.route("read", "grades")
+    other[fake_mesh.ROUTE_COLUMNS.index("priority")] = 5
+    document = fake_mesh.document(2, [urgent, other])
+    mesh.store.operate(names.CONFIG_KEY, document)
+    for place in await fleet_with(mesh, targets=3):
+        place.target.limit = LIMIT
+    load = load_module.Load(mesh)
+    begin = mesh.loop.time()
+    await load.run(per_second=60, seconds=14.0, kinds=("pay",) + ("read",) * 9)
+    assert load.served("pay", begin + 4.0, begin + 14.0) >= 0.8
