--- a/src/currantcart/admission/slots.py
+++ b/src/currantcart/admission/slots.py
@@ -124,6 +124,14 @@
         """Sets the slots from the number that the target announces."""
         self.slots = max(1, int(slots * USED_SLOTS_SHARE))
 
+    def load(self) -> dict[str, int]:
+        """Returns the numbers of running and waiting requests and of slots."""
+        return {
+            "running": self.running,
+            "waiting": self.waiting,
+            "slots": self.slots,
+        }
+
     def expected_wait_ms(self, priority: int, now: float) -> float:
         """Returns the expected wait of a new request of a priority, in ms."""
         ahead = sum(self.ahead_of(priority).values())
--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -149,7 +149,9 @@
         self.outbound.peers = self.peers
         self.statuses.peers = self.peers
         self.guard.publish = self.peers.publish
-        self.guard.called_pressure = self.outbound.ingress.called_pressure
+        self.guard.overload.called_pressure = (
+            self.outbound.ingress.called_pressure
+        )
         self.feed.peers = self.peers
         self.feed.exchange.peers = self.peers
         self.registration = registration.Registration(
@@ -207,7 +209,7 @@
         catalog = self.context.catalog
         assert catalog is not None
         self.quotas.configure(catalog.rates(), self.context.now)
-        self.guard.configure_slow_start()
+        self.guard.warm_up.configure()
 
     def apply_evacuation(self, change: evacuation.Change) -> None:
         """Stops or resumes the placement on targets of a failure domain."""
@@ -217,7 +219,7 @@
             self.guard.refuse_waiting("domain_evacuated")
         if own in change.restored:
             # The target may have become cold meanwhile.
-            self.guard.assume_cold()
+            self.guard.warm_up.assume_cold(self.guard.target_id)
 
     # Probes and metrics.
 
@@ -264,7 +266,7 @@
             "waiting": lambda: queue.waiting,
             "slots": lambda: queue.slots,
             "target_limit": lambda: self.guard.statements.limit,
-            "pressure": lambda: self.guard.gauge.level,
+            "pressure": lambda: self.guard.overload.gauge.level,
             "rates_exhausted": lambda: len(self.state_log.over_rate),
             "budgets_exhausted": lambda: len(self.state_log.spent),
             "retry_budget_nodes": lambda: (
@@ -343,7 +345,7 @@
     def tick(self) -> None:
         """Updates and publishes the node's state; every few ticks sweeps."""
         self.ticks += 1
-        if self.guard.update_gauge():
+        if self.guard.update_overload():
             self.peers.publish()
         self.outbound.refresh_local_target()
         self.peers.tick()
@@ -376,7 +378,7 @@
         self.context.settings = settings
         self.callers.intake.revoke_ms = settings.bounds.revoke_seconds * 1e3
         self.outbound.retries.use_bounds(settings.bounds)
-        self.guard.configure_slow_start()
+        self.guard.warm_up.configure()
         self.context.log.event(
             "settings_read",
             changed=settings != before,
--- a/src/currantcart/proxy/targets/guard.py
+++ b/src/currantcart/proxy/targets/guard.py
@@ -6,33 +6,27 @@
 import math
 from collections.abc import Callable
 
-from currantcart.admission import pressure, slots, slow_start, target_rate
+from currantcart.admission import pressure, slots, target_rate
 from currantcart.call import lineage
-from currantcart.catalog import model as catalog_model
 from currantcart.proxy import context as proxy_context
 from currantcart.proxy.streams import frames
 from currantcart.proxy.targets import (
-    cold_check,
     connectivity,
+    overload,
     statements,
     target_exchange,
+    warm_up,
 )
 from currantcart.proxy.targets import job as job_module
 
 LATE_MS = 40.0
 """Time left below which a request to the target is refused."""
 SWEEP_SECONDS = 0.02
-ASSUMED_COLD_MS = 3_000.0
-"""Warm-up assumed while the service's own is not known."""
 LIMITED_WAIT_MS = 100.0
 """Longest wait at a target with a rate limit, before others were tried.
 
 Other targets of the service often have room at once.
 """
-# Latency objective assumed before the first request.
-OBJECTIVE_MS = 300.0
-# Weight of each request's objective in the moving average.
-OBJECTIVE_SMOOTHING = 0.02
 
 
 class Guard:
@@ -44,19 +38,14 @@
         milliseconds since 1970.
       slot_count: Requests that the target runs concurrently, as it reports.
       ready: Whether the target accepts requests.
-      slow_start: Bound on the requests that the target gets while it is cold.
-      cold_assumed: Whether the target is taken as cold without knowing it.
+      warm_up: Whether the target is cold, and what it bears then.
       connectivity: Whether the target accepts connections.
-      cold_check: Asks the target whether it is cold.
       statements: What the target states about itself in its answers.
       queue: The target's slots and the queue of requests that wait for one.
       running: Requests that hold a slot, by object identity.
       by_request: The same requests, by request id.
       exchange: Connections to the target.
-      gauge: Overload level of the target.
-      objective_ms: Moving average of the requests' latency objectives.
-      called_pressure: Returns the pressure of the services that the target
-        calls; set by the node.
+      overload: Overload level of the target.
       on_leaving: Called with the target's id and incarnation when it states
         that it is leaving; set by the node.
       publish: Sends the node's status to its peers; set by the node.
@@ -70,9 +59,6 @@
         self.born = 0
         self.slot_count = 1
         self.ready = False
-        self.slow_start = slow_start.SlowStart(started_at=context.now)
-        self.cold_assumed = False
-        self.configure_slow_start()
         self.queue: slots.SlotQueue[job_module.Job] = slots.SlotQueue(
             target_rate.TargetRate()
             if context.settings.first_start
@@ -87,15 +73,9 @@
             is_used=lambda: self.ready,
             on_change=self.handle_connectivity,
         )
-        self.cold_check = cold_check.ColdCheck(
-            context,
-            connections=self.exchange.pool,
-            on_known=self.set_cold,
-        )
+        self.warm_up = warm_up.WarmUp(context, connections=self.exchange.pool)
         self.statements = statements.Statements(context)
-        self.gauge = pressure.Gauge()
-        self.objective_ms = OBJECTIVE_MS
-        self.called_pressure: Callable[[], pressure.Pressure] = dict
+        self.overload = overload.Overload(context, queue=self.queue)
         self.on_leaving: Callable[[str, int], object] = lambda _id, _born: None
         self.publish: Callable[[], None] = lambda: None
         self.sweeping: asyncio.TimerHandle | None = None
@@ -128,7 +108,7 @@
         self.slot_count = slot_count
         self.ready = ready
         self.connectivity.mark_up()
-        self.set_cold(cold_ms)
+        self.warm_up.set_remaining(cold_ms)
         self.queue.configure(slot_count)
         if not ready:
             self.refuse_waiting("target_leaving")
@@ -143,50 +123,6 @@
         if self.queue.rate.is_known:
             self.queue.rate.set_limit(self.statements.limit, self.context.now)
 
-    def configure_slow_start(self) -> None:
-        """Applies the limit for a cold target of a new configuration.
-
-        Before the first one the service's rate is not known, and the slack is
-        all that a cold target may get in any case.
-        """
-        service = self.service()
-        bounds = self.context.settings.bounds
-        if self.context.catalog is None:
-            self.slow_start.limit = max(1.0, bounds.cold_slack - 1.0)
-            return
-        self.slow_start.limit = slow_start.requests_per_second(
-            service.cold_rate if service else 0.0,
-            overshoot=bounds.cold_overshoot,
-            slack=bounds.cold_slack,
-        )
-        if self.cold_assumed:
-            # The path of the health resource may be known only now.
-            self.assume_cold()
-
-    def service(self) -> catalog_model.Service | None:
-        """Returns the target's service; None while it is not configured."""
-        catalog = self.context.catalog
-        if catalog is None:
-            return None
-        return catalog.services.get(self.context.settings.service)
-
-    def assume_cold(self) -> None:
-        """Treats the target as cold until it is known whether it is.
-
-        It may have become cold without a report of it so far. It is asked, and
-        its next report tells as well.
-        """
-        service = self.service()
-        self.set_cold(service.cold_ms if service else ASSUMED_COLD_MS)
-        self.cold_assumed = True
-        if service and self.slow_start.is_limited(self.context.now):
-            self.cold_check.start(service.health_path, self.target_id)
-
-    def set_cold(self, cold_ms: float) -> None:
-        """Sets the remaining warm-up of the target."""
-        self.cold_assumed = False
-        self.slow_start.cold_until = self.context.now + cold_ms
-
     def mark_unreachable(self) -> None:
         """Stops admission to a target that refuses connections."""
         self.connectivity.mark_down()
@@ -202,7 +138,7 @@
             "target_up" if up else "target_down", target=self.target_id
         )
         if up:
-            self.assume_cold()
+            self.warm_up.assume_cold(self.target_id)
         else:
             self.refuse_waiting("target_unreachable")
         self.publish()
@@ -222,10 +158,8 @@
             ready=self.is_open,
             limit=self.limit(),
             busy=self.busy,
-            cold_ms=math.ceil(
-                max(0.0, self.slow_start.cold_until - self.context.now)
-            ),
-            pressure=pressure.quantize(self.pressure()),
+            cold_ms=math.ceil(self.warm_up.remaining_ms()),
+            pressure=pressure.quantize(self.overload.pressure()),
             leaving=bool(self.target_id) and not self.ready,
             born=self.born,
             work_ms=math.ceil(self.exchange.work_time.reported_ms),
@@ -267,51 +201,12 @@
         A target with a rate limit is given as many as its rate comes to: peers
         then place on it in that proportion, and its overload weighs no more.
         """
-        per_second = self.statements.limit
-        if self.slow_start.is_limited(self.context.now):
-            per_second = min(per_second, self.slow_start.limit)
+        per_second = min(self.statements.limit, self.warm_up.rate_limit())
         if per_second == math.inf:
             return self.queue.slots
         concurrent = per_second * self.exchange.work_time.reported_ms / 1e3
         return max(1, min(self.queue.slots, round(concurrent)))
 
-    def pressure(self) -> pressure.Pressure:
-        """Returns the overload of the target and of the services it calls."""
-        local: pressure.Pressure = {}
-        if self.gauge.level >= pressure.LEVEL_MIN:
-            local[self.context.settings.service] = round(self.gauge.level, 3)
-        return pressure.highest_levels([local, self.called_pressure()])
-
-    def update_gauge(self) -> bool:
-        """Updates the overload level.
-
-        Returns:
-          Whether the change is large enough to be published at once.
-        """
-        if not (self.admits and self.queue.rate.is_known) or self.is_evacuated:
-            # The load of a target that gets no requests, or has not answered
-            # yet, is unknown and must not count as overload.
-            self.gauge.level = 0.0
-            return False
-        before = self.gauge.level
-        changed = self.gauge.update(
-            wait_ms=self.queue.slot_wait_ms(slots.CALLS_PRIORITY),
-            objective_ms=self.objective_ms,
-            utilization=1.0
-            if self.queue.rate.wait_ms(self.context.now)
-            else self.queue.running / max(1, self.queue.slots),
-            now=self.context.now,
-        )
-        if changed or (before > 0) != (self.gauge.level > 0):
-            self.context.log.event(
-                "pressure",
-                level=round(self.gauge.level, 2),
-                **self.load(),
-                service_ms=round(self.queue.occupancy.mean_ms()),
-                objective_ms=round(self.objective_ms),
-            )
-        return changed
-
     @property
     def busy(self) -> int:
         """Number of requests that run or wait."""
@@ -319,11 +214,17 @@
 
     def load(self) -> dict[str, int]:
         """Returns the numbers of running and waiting requests and of slots."""
-        return {
-            "running": self.queue.running,
-            "waiting": self.queue.waiting,
-            "slots": self.queue.slots,
-        }
+        return self.queue.load()
+
+    def update_overload(self) -> bool:
+        """Updates the overload level.
+
+        Returns:
+          Whether the change is large enough to be published at once.
+        """
+        return self.overload.update(
+            in_use=self.admits and not self.is_evacuated
+        )
 
     def submit(
         self,
@@ -348,9 +249,7 @@
         if reason:
             self.refuse(job, reason)
             return job
-        self.objective_ms += OBJECTIVE_SMOOTHING * (
-            opening.objective_ms - self.objective_ms
-        )
+        self.overload.record_objective(opening.objective_ms)
         verdict, job.ticket = self.queue.offer(
             job,
             priority=opening.priority,
@@ -361,7 +260,7 @@
             wait_ms_max=self.wait_ms_max(opening),
         )
         if verdict is not slots.Verdict.REFUSE:
-            self.gauge.count_offer(refused=False)
+            self.overload.gauge.count_offer(refused=False)
         if verdict is slots.Verdict.RUN:
             self.start(job)
         elif verdict is slots.Verdict.REFUSE:
@@ -389,7 +288,7 @@
             return "domain_evacuated"
         if not self.connectivity.up:
             return "target_unreachable"
-        if self.slow_start.wait_ms(now):
+        if self.warm_up.slow_start.wait_ms(now):
             return "target_cold"
         if job.opening.target_id != self.target_id:
             return "another_target"
@@ -399,7 +298,7 @@
 
     def record_sent(self, now: float) -> None:
         """Counts a request that is sent to the target."""
-        self.slow_start.record(now)
+        self.warm_up.slow_start.record(now)
         self.context.counts.add("target_requests")
 
     def record_answer(
@@ -494,7 +393,8 @@
             return
         now = self.context.now
         after = max(
-            self.queue.retry_after_ms(now), self.slow_start.wait_ms(now)
+            self.queue.retry_after_ms(now),
+            self.warm_up.slow_start.wait_ms(now),
         )
         self.context.counts.add("guard_refusals", code)
         self.context.log.event(
@@ -520,7 +420,7 @@
         """
         is_limited = self.queue.rate.is_limited
         if not is_limited or job.opening.placed_before:
-            self.gauge.count_offer(refused=True)
+            self.overload.gauge.count_offer(refused=True)
         self.refuse(job, "target_limited" if is_limited else code)
 
     def refuse_waiting(self, code: str) -> None:
--- a/src/currantcart/proxy/targets/target_reports.py
+++ b/src/currantcart/proxy/targets/target_reports.py
@@ -170,7 +170,7 @@
             cold_ms=0.0,
             born=last.born,
         )
-        self.guard.assume_cold()
+        self.guard.warm_up.assume_cold(last.target_id)
         self.context.log.event(
             "target_restored", target=last.target_id, slots=last.slots
         )
--- a/tests/proxy/targets/test_cold_targets.py
+++ b/tests/proxy/targets/test_cold_targets.py
@@ -185,12 +185,12 @@
     configure(mesh)
     place = await mesh.add("a")
     await mesh.settle(1.0)
-    before = place.node.guard.slow_start.limit
+    before = place.node.guard.warm_up.slow_start.limit
     bounds = proxy_settings.Bounds(cold_slack=2.0)
     place.node.use_settings(
         msgspec.structs.replace(place.settings, bounds=bounds)
     )
-    assert place.node.guard.slow_start.limit == before - 6.0
+    assert place.node.guard.warm_up.slow_start.limit == before - 6.0
 
 
 async def test_a_target_that_left_is_not_probed(mesh: fake_mesh.Mesh) -> None:
