Take statements only from answers that the target itself gave

Cause: an answer without the target's seal, and the 421 of another process at its address, lifted the limit that the target had stated, as they state none.

Change: only an answer that proves its target is read for statements. The test fails before (90 requests in four seconds, allowed 35, either way) and passes now.

--- a/src/currantcart/proxy/targets/target_exchange.py
+++ b/src/currantcart/proxy/targets/target_exchange.py
@@ -157,7 +157,6 @@
         shown = answer.request_id
         if shown is not None and shown != job.opening.request_id.encode():
             return False
-        self.slots.record_answer(job, answer)
         connection, job.connection = job.connection, None
         assert connection is not None
         now = self.context.now
@@ -166,6 +165,9 @@
             self.slots.free(job)
             self.report_lost(job, "answer_not_sealed")
             return True
+        if response.status != job_module.MISDIRECTED:
+            # Another process may have taken over the target's address.
+            self.slots.record_answer(job, answer)
         worked_ms = now - job.handed_at
         self.context.counts.observe("target_seconds", worked_ms)
         if response.status < status.SERVER_ERROR:
--- a/tests/proxy/targets/test_stated_limits.py
+++ b/tests/proxy/targets/test_stated_limits.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from bench.standins import http_target
 from currantcart.platform import names
 from tests.fakes import load as load_module
@@ -146,6 +148,32 @@
     assert len(arrivals) >= 60
 
 
+@pytest.mark.parametrize("foreign", ["unsealed", "misdirected"])
+async def test_only_answers_of_the_target_itself_lift_its_limit(
+    mesh: fake_mesh.Mesh, foreign: str
+) -> None:
+    """One answer in five is spoilt, or comes from a process at its address."""
+    (limited,) = await fleet_with(mesh, targets=1, slots=200)
+    await mesh.add("front", service="other")
+    arrivals = load_module.record_arrivals(mesh, limited)
+    count = 0
+
+    def script(seen: http_target.Seen) -> bytes:
+        nonlocal count
+        count += 1
+        if count % 5:
+            answer = http_target.sealed(seen)
+            return answer.replace(b"\r\n", b"\r\nServer-Limit: 5.0\r\n", 1)
+        if foreign == "misdirected":
+            return http_target.not_executed(seen, status=421)
+        return http_target.sealed(seen).replace(b"Server-Seal", b"X-Seal")
+
+    limited.target.script = script
+    since = mesh.loop.time() + ADAPT_SECONDS
+    await load_module.Load(mesh).run(per_second=300, seconds=9.0)
+    assert 0 < most_arrivals(arrivals, after=since) <= BOUND
+
+
 async def test_a_target_whose_limit_is_zero_is_still_asked_now_and_then(
     mesh: fake_mesh.Mesh,
 ) -> None:
