Write a leave to the store before acknowledging it, whoever told it first

Cause: the report of a target whose leave an answer or a peer had told before was passed over as nothing new, and acknowledged while the entry in the store could still say ready. If all nodes then lost power, the target was used again.

Change: the report waits for a pending write of the entry like the first one. The limit is told to peers at once only when it begins or ends, not with each change of its value.

Measured, in memory: the test fails before (a request after the restart) and passes now.

--- a/src/currantcart/proxy/streams/registration.py
+++ b/src/currantcart/proxy/streams/registration.py
@@ -139,6 +139,11 @@
         """Key of this node's entry."""
         return self.prefix + self.member.instance
 
+    @property
+    def is_written(self) -> bool:
+        """Whether the store holds the entry as it is now."""
+        return not (self.dirty or self.writing.locked())
+
     def mark_dirty(self) -> None:
         """Schedules the entry to be written in the next iteration of `run`."""
         self.dirty = True
--- a/src/currantcart/proxy/targets/guard.py
+++ b/src/currantcart/proxy/targets/guard.py
@@ -306,15 +306,15 @@
     ) -> None:
         """Applies what an answer of the target states about it.
 
-        Peers are told before the answer is passed on. They tell it to the next
-        process of this node, which has not seen the answer.
+        Peers are told before the answer is passed on: of a leave they tell the
+        next process of this node, which has not seen the answer.
         """
-        before = self.statements.limit
+        rate = self.queue.rate
+        was_limited = rate.is_limited
         if not self.statements.record(job, answer):
             return
-        limit = self.statements.limit
-        self.queue.rate.set_limit(limit, self.context.now)
-        if limit != before:
+        rate.set_limit(self.statements.limit, self.context.now)
+        if rate.is_limited != was_limited:
             self.publish()
         if self.statements.leaving and self.ready:
             self.on_leaving(self.target_id, self.born)
--- a/src/currantcart/proxy/targets/target_reports.py
+++ b/src/currantcart/proxy/targets/target_reports.py
@@ -80,6 +80,8 @@
                 born=report.born,
                 sequence=report.sequence,
             )
+            if report.phase is not target_record.Phase.READY:
+                await self.persist_leave()
             return
         last = self.record.last
         assert last is not None
@@ -109,9 +111,7 @@
         self.publish()
         self.registration.mark_dirty()
         if not ready:
-            # An acknowledged leave is binding and must survive a restart of
-            # this process.
-            await self.persist()
+            await self.persist_leave()
 
     def apply_leave(self, target_id: str, born: int) -> None:
         """Stops admission to a target that leaves, as another source tells.
@@ -128,11 +128,15 @@
         self.publish()
         self.registration.mark_dirty()
 
-    async def persist(self) -> None:
+    async def persist_leave(self) -> None:
         """Writes the node's entry to the store, waiting a limited time.
 
-        The write continues in the background after that.
+        An acknowledged leave is binding and must survive a restart of this
+        process, also if a peer or an answer of the target told it before. The
+        write continues in the background after the wait.
         """
+        if self.registration.is_written:
+            return
         work = self.context.loop.create_task(self.registration.try_write())
         self.hold(work)
         await asyncio.wait([work], timeout=PERSIST_SECONDS_MAX)
--- a/tests/proxy/targets/test_stated_limits.py
+++ b/tests/proxy/targets/test_stated_limits.py
@@ -222,6 +222,25 @@
     assert not arrivals
 
 
+async def test_an_acknowledged_leave_stated_before_survives_a_power_loss(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """All nodes end right after the acknowledgement, and none remembers it."""
+    (leaving,) = await fleet_with(mesh, targets=1)
+    front = await mesh.add("front", service="other")
+    await mesh.settle(2.0)
+    leaving.target.leaving = True
+    assert (await mesh.ask(front, fake_mesh.request())).status == 200
+    assert await mesh.report(leaving, state="draining") == 200
+    arrivals = load_module.record_arrivals(mesh, leaving)
+    for place in (leaving, front):
+        mesh.kill(place)
+    for place in (leaving, front):
+        await mesh.restart(place)
+    await load_module.Load(mesh).run(per_second=50, seconds=3.0)
+    assert not arrivals
+
+
 async def test_a_new_incarnation_of_a_target_that_left_is_used(
     mesh: fake_mesh.Mesh,
 ) -> None:
