--- a/bench/soak/promises.py
+++ b/bench/soak/promises.py
@@ -11,6 +11,12 @@
 EVACUATION_SECONDS = 10.0
 """Bound of an evacuation, with its stretch while faults disturb the nodes."""
 
+ADAPT_SECONDS = 3.0
+"""Time after a target's first statement of a limit from which it is checked."""
+LIMIT_WINDOW_SECONDS = 4.0
+LIMIT_OVERSHOOT = 1.5
+LIMIT_SLACK = 5
+
 
 @dataclasses.dataclass(slots=True)
 class Sent:
@@ -25,6 +31,7 @@
       status: Status of the answer; 0 if no complete answer was received.
       answer: Body of the answer.
       answered_id: Request id in the answer.
+      instance: Instance of the node that it was sent to.
     """
 
     request_id: str
@@ -35,6 +42,7 @@
     status: int = 0
     answer: bytes = b""
     answered_id: str = ""
+    instance: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -75,6 +83,35 @@
     until: float = float("inf")
 
 
+@dataclasses.dataclass(slots=True)
+class Limit:
+    """A rate limit that a target stated in its answers.
+
+    Attributes:
+      target_id: Id of the target.
+      per_second: Requests per second.
+      at: Since when, in seconds of the monotonic clock.
+      until: Until when.
+    """
+
+    target_id: str
+    per_second: float
+    at: float
+    until: float = float("inf")
+
+    def broken_by(self, arrivals: list[float]) -> bool:
+        """Returns whether the target got more than it had stated."""
+        seen = [
+            at for at in arrivals if self.at + ADAPT_SECONDS <= at < self.until
+        ]
+        window = LIMIT_WINDOW_SECONDS
+        allowed = LIMIT_OVERSHOOT * self.per_second * window + LIMIT_SLACK
+        return any(
+            sum(first <= at < first + window for at in seen) > allowed
+            for first in seen
+        )
+
+
 @dataclasses.dataclass(slots=True)
 class Record:
     """Everything that callers and targets observed.
@@ -84,6 +121,10 @@
       ran: Runs in their order.
       withdrawn: Time at which each key was withdrawn.
       left: Time at which each target's draining report was acknowledged.
+      told_leave: When each instance first passed on an answer in which a
+        target states that it is leaving, by instance and target.
+      disturbed: When each instance's node was last stopped or paused.
+      limits: Stated limits in their order.
       evacuations: Evacuations in their order.
       ended: Name and exit status of each process that exited unexpectedly.
     """
@@ -92,6 +133,11 @@
     ran: list[Ran] = dataclasses.field(default_factory=list)
     withdrawn: dict[str, float] = dataclasses.field(default_factory=dict)
     left: dict[str, float] = dataclasses.field(default_factory=dict)
+    told_leave: dict[tuple[str, str], float] = dataclasses.field(
+        default_factory=dict
+    )
+    disturbed: dict[str, float] = dataclasses.field(default_factory=dict)
+    limits: list[Limit] = dataclasses.field(default_factory=list)
     evacuations: list[Evacuation] = dataclasses.field(default_factory=list)
     ended: list[str] = dataclasses.field(default_factory=list)
 
@@ -100,6 +146,11 @@
     """Yields one line for each broken promise."""
     for ended in record.ended:
         yield f"ENDED: {ended}"
+    for limit in record.limits:
+        target_id = limit.target_id
+        arrivals = [ran.at for ran in record.ran if ran.target_id == target_id]
+        if limit.broken_by(arrivals):
+            yield f"LIMIT: {target_id} got more than {limit.per_second:.1f}/s"
     runs: dict[str, int] = {}
     for ran in record.ran:
         runs[ran.request_id] = runs.get(ran.request_id, 0) + 1
@@ -129,6 +180,13 @@
     left_at = record.left.get(ran.target_id)
     if left_at is not None and ran.at > left_at + DRAIN_SECONDS:
         yield f"DRAIN: {ran.request_id} came to {ran.target_id}, which left"
+    told_at = record.told_leave.get((sent.instance, ran.target_id))
+    if (
+        told_at is not None
+        and sent.at > told_at + DRAIN_SECONDS
+        and record.disturbed.get(sent.instance, 0.0) < told_at
+    ):
+        yield f"DRAIN: {ran.request_id} came to {ran.target_id}, which leaves"
     for evacuation in record.evacuations:
         begin = evacuation.at + EVACUATION_SECONDS
         if (
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -19,7 +19,8 @@
 START_SECONDS = 3.0
 RECOVERY_SECONDS = 7.0
 PLANNED_SECONDS_MIN = 20.0
-"""Duration from which a run has evacuations, which last longer than faults."""
+"""Duration from which a run has evacuations and targets that state a limit or a
+leave: they last longer than faults."""
 REGRESSIONS = pathlib.Path(__file__).parent / "regressions.txt"
 
 
@@ -148,6 +149,27 @@
     fleet.restore(evacuation)
 
 
+async def limit(fleet: world.World, rng: random.Random) -> None:
+    """Has a target state a rate limit for longer than the checked window."""
+    instance = rng.choice(fleet.places)
+    stated = fleet.limit(instance, rng.uniform(0.5, 3.0))
+    await asyncio.sleep(
+        promises.ADAPT_SECONDS
+        + promises.LIMIT_WINDOW_SECONDS
+        + rng.uniform(0.5, 3.0)
+    )
+    fleet.lift(instance, stated)
+
+
+async def state_leave(fleet: world.World, rng: random.Random) -> None:
+    """Has a target state in answers that it leaves, before it reports it."""
+    instance = rng.choice(fleet.places)
+    if instance.phase == "ready":
+        instance.target.leaving = True
+        await hold(rng)
+        await fleet.replace_target(instance)
+
+
 FAULTS: tuple[Fault, ...] = (
     kill, stop_gracefully, pause, reread, spoil_wire, spoil_wire, reset_wire,
     spoil_store, spoil_target, replace, change,
@@ -195,6 +217,11 @@
             fleet.run_in_background(
                 series(fleet, (evacuate,), planned, seconds - 1, injected)
             )
+            for number, fault in enumerate((limit, state_leave), start=3):
+                stating = random.Random(seed + number)
+                fleet.run_in_background(
+                    series(fleet, (fault,), stating, seconds - 1, injected)
+                )
         await asyncio.gather(
             *(
                 series(
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -64,6 +64,21 @@
     born: int = 1
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """An answer of a node; status 0 if no complete one was received.
+
+    Attributes:
+      status: Its status.
+      fields: Its header, names and values in lower case.
+      body: Its body.
+    """
+
+    status: int = 0
+    fields: dict[str, str] = dataclasses.field(default_factory=dict)
+    body: bytes = b""
+
+
 def domain_of(number: int) -> str:
     """Returns the failure domain of a node by its index."""
     return f"d{number % DOMAINS}"
@@ -234,12 +249,15 @@
 
     def send_signal(self, instance: Instance, number: signal.Signals) -> None:
         """Sends a signal to a node's process if it still runs."""
+        if number is not signal.SIGHUP:
+            self.record.disturbed[instance.name] = time.monotonic()
         if instance.process is not None and instance.process.poll() is None:
             instance.process.send_signal(number)
 
     async def restart(self, instance: Instance, number: signal.Signals) -> None:
         """Ends a node's process with a signal and restarts it."""
         instance.restarts += 1
+        self.record.disturbed[instance.name] = time.monotonic()
         await processes.replace(
             lambda: instance.process, lambda: self.launch(instance), number
         )
@@ -277,8 +295,22 @@
         ).encode()
         call = f"{names.HEARTBEAT_CALL}&of={instance.target.target_id}"
         head = f"POST {names.REPORT_PATH}?call={call} HTTP/1.1\r\nHost: x\r\n"
-        status, _, _ = await self.exchange(instance.ports[3], head, body, 1.0)
-        return status == 200
+        answer = await self.exchange(instance.ports[3], head, body, 1.0)
+        return answer.status == 200
+
+    def limit(self, instance: Instance, per_second: float) -> promises.Limit:
+        """Has a node's target state a limit until `lift`."""
+        instance.target.limit = per_second
+        limit = promises.Limit(
+            instance.target.target_id, per_second, time.monotonic()
+        )
+        self.record.limits.append(limit)
+        return limit
+
+    def lift(self, instance: Instance, limit: promises.Limit) -> None:
+        """Has a node's target state no limit any more."""
+        limit.until = time.monotonic()
+        instance.target.limit = None
 
     async def replace_target(self, instance: Instance) -> None:
         """Drains a target, aborts its connections and starts a successor."""
@@ -320,20 +352,28 @@
             f"Currantcart-Request-Id: {sent.request_id}\r\n"
             f"Currantcart-Deadline-Ms: 3000\r\nApi-Key: {sent.key}\r\n"
         )
-        sent.status, sent.answered_id, sent.answer = await self.exchange(
+        sent.instance = instance.name
+        answer = await self.exchange(
             instance.ports[0], head, body, ANSWER_SECONDS_MAX
         )
+        sent.status, sent.answer = answer.status, answer.body
+        sent.answered_id = answer.fields.get("currantcart-request-id", "")
+        if "server-leaving" in answer.fields:
+            self.record_told_leave(sent)
         return sent
 
+    def record_told_leave(self, sent: promises.Sent) -> None:
+        """Records that a node passed on that a target is leaving."""
+        for ran in reversed(self.record.ran):
+            if ran.request_id == sent.request_id:
+                key = (sent.instance, ran.target_id)
+                self.record.told_leave.setdefault(key, time.monotonic())
+                return
+
     async def exchange(
         self, port: int, head: str, body: bytes, seconds: float
-    ) -> tuple[int, str, bytes]:
-        """Sends one request on a new connection and reads the answer.
-
-        Returns:
-          Status, request id and body of the answer; 0 and empty values if no
-          complete answer was received.
-        """
+    ) -> Answer:
+        """Sends one request on a new connection and reads the answer."""
         writer: asyncio.StreamWriter | None = None
         try:
             async with asyncio.timeout(seconds):
@@ -347,12 +387,10 @@
                     if line
                 )
                 size = int(fields.get("content-length", "0"))
-                answer = await reader.readexactly(size)
-                status = int(lines.split(" ", 2)[1])
-                answered_id = fields.get("currantcart-request-id", "")
-                return status, answered_id, answer
+                body = await reader.readexactly(size)
+                return Answer(int(lines.split(" ", 2)[1]), fields, body)
         except (OSError, TimeoutError, EOFError, ValueError):
-            return 0, "", b""
+            return Answer()
         finally:
             if writer is not None:
                 writer.transport.abort()
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -58,6 +58,19 @@
     return record
 
 
+def limited() -> promises.Record:
+    record = valid_record()
+    record.limits = [promises.Limit("t1", 0.1, 6.9)]
+    record.ran = [record.ran[0]] * 6
+    return record
+
+
+def told_leave() -> promises.Record:
+    record = changed_answer(instance="n1")
+    record.told_leave["n1", "t1"] = 10.0 - promises.DRAIN_SECONDS - 0.1
+    return record
+
+
 def ended() -> promises.Record:
     record = valid_record()
     record.ended.append("n1: -1")
@@ -83,6 +96,8 @@
         (withdrawn(), "CONFIG"),
         (left(), "DRAIN"),
         (evacuated(), "EVAC"),
+        (limited(), "LIMIT"),
+        (told_leave(), "DRAIN"),
         (ended(), "ENDED"),
     ],
 )
