Take a limit as unknown when its target starts anew

Cause: a target in need that starts again under its id was taken as one without a limit until its first answer: all that its slots hold came at once.

Change: a new incarnation of a target with a limit gets five requests a second until its first answer, like the target of a node that has started anew. Without a limit nothing changes.

Measured, in memory: the test fails before and passes now.

--- a/src/currantcart/admission/target_rate.py
+++ b/src/currantcart/admission/target_rate.py
@@ -18,8 +18,9 @@
 PER_SECOND_UNKNOWN = 5.0
 """Rate until the first answer of the target.
 
-The previous process of this node may have been told a limit. Until an answer
-tells it again, the target must not get all that it can run at once.
+It may have stated a limit to the previous process of this node, or before it
+started anew. Until an answer shows whether it still has one, it must not get
+all that it can run at once.
 """
 
 
@@ -65,6 +66,13 @@
         # What was sent without a limit counts against the new one.
         self.tokens = min(self.tokens, self.burst) if had_limit else 0.0
 
+    def forget_limit(self, now: float) -> None:
+        """Makes a limit unknown, as the target has started anew."""
+        if self.is_limited:
+            self.refill(now)
+            self.per_second, self.is_known = PER_SECOND_UNKNOWN, False
+            self.tokens = min(self.tokens, 1.0)
+
     @property
     def burst(self) -> float:
         """Most requests that are saved up."""
--- a/src/currantcart/proxy/targets/guard.py
+++ b/src/currantcart/proxy/targets/guard.py
@@ -102,7 +102,8 @@
         if target_id != self.target_id:
             self.exchange.reset()
         if (target_id, born) != (self.target_id, self.born):
-            self.reset_statements()
+            self.statements.reset()
+            self.queue.rate.forget_limit(self.context.now)
         self.target_id = target_id
         self.born = born
         self.slot_count = slot_count
@@ -114,15 +115,6 @@
             self.refuse_waiting("target_leaving")
         self.run_waiting()
 
-    def reset_statements(self) -> None:
-        """Forgets what an earlier incarnation of the target has stated.
-
-        A limit stays unknown until the first answer to this process.
-        """
-        self.statements.reset()
-        if self.queue.rate.is_known:
-            self.queue.rate.set_limit(self.statements.limit, self.context.now)
-
     def mark_unreachable(self) -> None:
         """Stops admission to a target that refuses connections."""
         self.connectivity.mark_down()
--- a/tests/admission/test_target_rate.py
+++ b/tests/admission/test_target_rate.py
@@ -91,6 +91,19 @@
     assert len(send_all(rate, [1_000.0] * 100)) == 100
 
 
+def test_a_forgotten_limit_is_unknown_until_it_is_stated_again() -> None:
+    rate = limited(50.0)
+    rate.forget_limit(1_000.0)
+    assert not rate.is_known
+    assert len(send_all(rate, [1_000.0] * 100)) == 1
+
+
+def test_a_target_without_a_limit_has_none_to_forget() -> None:
+    rate = target_rate.TargetRate()
+    rate.forget_limit(1_000.0)
+    assert rate.is_known
+
+
 def test_a_request_that_was_not_sent_is_not_counted() -> None:
     rate = limited(4.0)
     rate.take(1_000.0)
--- a/tests/proxy/targets/test_stated_limits.py
+++ b/tests/proxy/targets/test_stated_limits.py
@@ -148,6 +148,26 @@
     assert len(arrivals) >= 60
 
 
+async def test_a_target_that_restarts_in_need_is_not_flooded(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """It states its limit again, but not before its first answer."""
+    (limited,) = await fleet_with(mesh, targets=1, slots=200)
+    await mesh.add("front", service="other")
+    arrivals = load_module.record_arrivals(mesh, limited)
+    limited.target.work_seconds = 0.7
+    limited.target.limit = LIMIT
+    since = mesh.loop.time() + ADAPT_SECONDS
+    load = load_module.Load(mesh)
+    task = mesh.loop.create_task(load.run(per_second=300, seconds=9.0))
+    await mesh.settle(5.0)
+    limited.born += 1
+    limited.sequence = 0
+    await mesh.report(limited, slots=200)
+    await task
+    assert 0 < most_arrivals(arrivals, after=since) <= BOUND
+
+
 @pytest.mark.parametrize("foreign", ["unsealed", "misdirected"])
 async def test_only_answers_of_the_target_itself_lift_its_limit(
     mesh: fake_mesh.Mesh, foreign: str
