--- a/src/currantcart/proxy/targets/guard.py
+++ b/src/currantcart/proxy/targets/guard.py
@@ -138,7 +138,8 @@
     def mark_target_leaving(self) -> None:
         """Stops admission to a target that leaves, as another source reports.
 
-        The sources are peers and the record of the previous process.
+        The sources are peers, the target's answers and the record of the
+        previous process.
         """
         self.ready = False
         self.refuse_waiting("target_leaving")
--- a/tests/proxy/targets/test_stated_limits.py
+++ b/tests/proxy/targets/test_stated_limits.py
@@ -148,7 +148,7 @@
     assert len(arrivals) >= 60
 
 
-async def test_a_target_that_restarts_in_need_is_not_flooded(
+async def test_a_restarted_target_with_a_limit_is_not_flooded(
     mesh: fake_mesh.Mesh,
 ) -> None:
     """It states its limit again, but not before its first answer."""
