Send three requests at once to a target whose limit is not known

Change: three requests at once, then two a second. The shortest of three answers comes sooner. The bound holds for a start within the window at any limit.

--- a/src/currantcart/admission/target_rate.py
+++ b/src/currantcart/admission/target_rate.py
@@ -15,8 +15,10 @@
 
 Only the answer to a request can show that the target accepts more again.
 """
-PER_SECOND_UNKNOWN = 5.0
-"""Rate until the first answer of the target.
+UNKNOWN_BURST = 3.0
+"""Requests sent at once before the first answer; the shortest one ends it."""
+UNKNOWN_PER_SECOND = 2.0
+"""Rate after them, until the first answer of the target.
 
 It may have stated a limit to the previous process of this node, or before it
 started anew. Until an answer shows whether it still has one, it must not get
@@ -41,7 +43,7 @@
     ) -> None:
         self.per_second = per_second
         self.is_known = is_known
-        self.tokens = 1.0
+        self.tokens = 0.0 if is_known else UNKNOWN_BURST
         self.refilled_at = 0.0
 
     @property
@@ -70,12 +72,14 @@
         """Makes a limit unknown, as the target has started anew."""
         if self.is_limited:
             self.refill(now)
-            self.per_second, self.is_known = PER_SECOND_UNKNOWN, False
-            self.tokens = min(self.tokens, 1.0)
+            self.per_second, self.is_known = UNKNOWN_PER_SECOND, False
+            self.tokens = UNKNOWN_BURST
 
     @property
     def burst(self) -> float:
         """Most requests that are saved up."""
+        if not self.is_known:
+            return UNKNOWN_BURST
         return max(1.0, self.per_second * BURST_MS / 1e3)
 
     def refill(self, now: float) -> None:
@@ -113,4 +117,4 @@
 
 def unknown() -> TargetRate:
     """Returns the rate of a target before its first answer."""
-    return TargetRate(PER_SECOND_UNKNOWN, is_known=False)
+    return TargetRate(UNKNOWN_PER_SECOND, is_known=False)
--- a/tests/admission/test_target_rate.py
+++ b/tests/admission/test_target_rate.py
@@ -86,7 +86,7 @@
 def test_few_requests_are_sent_before_the_first_answer() -> None:
     rate = target_rate.unknown()
     sent = send_all(rate, [10.0 * step for step in range(100)])
-    assert 1 <= len(sent) <= 6
+    assert 1 <= len(sent) <= 5
     rate.set_limit(math.inf, 1_000.0)
     assert len(send_all(rate, [1_000.0] * 100)) == 100
 
@@ -95,7 +95,7 @@
     rate = limited(50.0)
     rate.forget_limit(1_000.0)
     assert not rate.is_known
-    assert len(send_all(rate, [1_000.0] * 100)) == 1
+    assert len(send_all(rate, [1_000.0] * 100)) == 3
 
 
 def test_a_target_without_a_limit_has_none_to_forget() -> None:
