--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -27,8 +27,14 @@
 STOP_SECONDS_MAX = 10.0
 HOST = "127.0.0.1"
 PORTS = range(12_000, 32_000)
+PORTS_PER_PROCESS = 1_021
+"""Ports by which the first candidates of two successive processes differ.
+
+A port of a stopped node is free for a moment, and another process that runs at
+the same time must not take it.
+"""
 CANDIDATE_PORTS = itertools.cycle(
-    [*PORTS[os.getpid() * 37 % len(PORTS) :], *PORTS]
+    [*PORTS[os.getpid() * PORTS_PER_PROCESS % len(PORTS) :], *PORTS]
 )
 
 
