Let requests wait for the first answer of a target with an unknown limit

Cause: the expected wait of a request at a target before its first answer was that of the assumed rate, half a second.

Change: no wait is expected then, as the answer is due soon and mostly ends the assumed rate; how long a request waits is bounded as at any target.

Measured: the new test fails before and passes now.

--- a/src/currantcart/admission/slots.py
+++ b/src/currantcart/admission/slots.py
@@ -135,7 +135,7 @@
     def expected_wait_ms(self, priority: int, now: float) -> float:
         """Returns the expected wait of a new request of a priority, in ms."""
         ahead = sum(self.ahead_of(priority).values())
-        rate_wait_ms = self.rate.wait_ms(now, ahead=ahead)
+        rate_wait_ms = self.rate.expected_wait_ms(now, ahead=ahead)
         return max(rate_wait_ms, self.slot_wait_ms(priority))
 
     def slot_wait_ms(self, priority: int) -> float:
@@ -300,6 +300,6 @@
         mean_ms = self.occupancy.mean_ms()
         drained_ms = max(
             (self.waiting + 1) * mean_ms / max(1, self.slots),
-            self.rate.wait_ms(now, ahead=self.waiting),
+            self.rate.expected_wait_ms(now, ahead=self.waiting),
         )
         return min(RETRY_AFTER_MAX_MS, max(RETRY_AFTER_MIN_MS, drained_ms))
--- a/src/currantcart/admission/target_rate.py
+++ b/src/currantcart/admission/target_rate.py
@@ -100,9 +100,15 @@
         if self.per_second == math.inf:
             return 0.0
         self.refill(now)
-        # The first answer is expected to lift the assumed limit.
-        needed = 1.0 + ahead if self.is_known else 1.0
-        return max(0.0, (needed - self.tokens) * 1e3 / self.per_second)
+        return max(0.0, (1 + ahead - self.tokens) * 1e3 / self.per_second)
+
+    def expected_wait_ms(self, now: float, *, ahead: int) -> float:
+        """Returns the expected wait of a request, in ms.
+
+        Before the first answer none is expected: the answer is due soon, and
+        mostly ends the assumed limit.
+        """
+        return self.wait_ms(now, ahead=ahead) if self.is_known else 0.0
 
     def take(self, now: float) -> None:
         """Counts a request that is sent."""
--- a/tests/admission/test_slots.py
+++ b/tests/admission/test_slots.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import heapq
+import math
 import random
 
-from currantcart.admission import occupancy, slots
+from currantcart.admission import occupancy, slots, target_rate
 
 
 def queue(count: int = 10) -> slots.SlotQueue[str]:
@@ -98,6 +99,21 @@
     assert slot_queue.retry_after_ms(0.0) >= 130.0
 
 
+def test_requests_wait_for_the_first_answer_of_a_target() -> None:
+    """Refused for the assumed rate, a call with 0.4 s left fails its chain."""
+    slot_queue = slots.SlotQueue[str](target_rate.unknown())
+    slot_queue.configure(100)
+    verdicts = [
+        offer(slot_queue, "call", objective_ms=300.0)[0] for _ in range(50)
+    ]
+    assert slots.Verdict.REFUSE not in verdicts
+    slot_queue.rate.set_limit(math.inf, 30.0)
+    started = 0
+    while slot_queue.start_next(30.0) is not None:
+        started += 1
+    assert started == verdicts.count(slots.Verdict.WAIT)
+
+
 def test_a_withdrawn_request_gets_no_slot() -> None:
     slot_queue = queue(1)
     _, first = offer(slot_queue, "running")
