--- a/tests/fakes/load.py
+++ b/tests/fakes/load.py
@@ -41,11 +41,15 @@
     """Callers that send requests at a steady rate to all nodes in turn.
 
     Attributes:
+      deadline_ms: Deadline of each request.
       asked: Requests that have ended.
     """
 
-    def __init__(self, mesh: fake_mesh.Mesh) -> None:
+    def __init__(
+        self, mesh: fake_mesh.Mesh, *, deadline_ms: int = 2_000
+    ) -> None:
         self.mesh = mesh
+        self.deadline_ms = deadline_ms
         self.asked: list[Asked] = []
         self.numbers = itertools.count()
 
@@ -56,7 +60,7 @@
     async def one(self, place: fake_mesh.Place, number: int, kind: str) -> None:
         at = self.mesh.loop.time()
         data = fake_mesh.request(
-            f"/{kind}/1", request_id=f"l{number}", deadline=2_000
+            f"/{kind}/1", request_id=f"l{number}", deadline=self.deadline_ms
         )
         reply = await self.mesh.ask(place, data)
         self.asked.append(Asked(kind, at, reply.status))
