One line a test of a failure; a reason and a line for a connection cut short

Cause: ten tests of failures told a story above them, the kept-open close of a caller's connection passed over three errors without a line, and the list of known failures didn't say why a listed test that passes is no failure.

Change: the stories stand here instead. A full service overloads its only cold target: 18 requests of 0.5 s at each of four targets are 144 a second. A crashed target stayed ready until its report, and each request to it spent a retry. After a power loss 180 requests a second meet six cold targets that bear 39, and one second of the full load would never end. A node restarts as an evacuation ends, and its record says warm; a warm target is asked, as its report may be 1.5 s away. A value that is no Base64 became empty, or ended the reader of the configuration. A cached state lets peers place on a target until the status after next. A new process of a slow target fills all its slots; forty early requests end after the limit was stated; three targets take 15 of 60 requests a second, 6 of them urgent. The error of a connection that can't be kept open for reading is logged.

No check or bound changes.

--- a/src/currantcart/admission/target_rate.py
+++ b/src/currantcart/admission/target_rate.py
@@ -16,7 +16,10 @@
 Only the answer to a request can show that the target accepts more again.
 """
 UNKNOWN_BURST = 3.0
-"""Requests sent at once before the first answer; the shortest one ends it."""
+"""Requests sent at once before the first answer.
+
+Requests differ in work, so the first of several is answered soon.
+"""
 UNKNOWN_PER_SECOND = 2.0
 """Rate after them, until the first answer of the target.
 
--- a/src/currantcart/http1/server.py
+++ b/src/currantcart/http1/server.py
@@ -14,6 +14,7 @@
 from multidict import CIMultiDict
 
 from currantcart import eager, errors
+from currantcart.telemetry import log
 
 LINE_BYTES_MAX = 8_190
 HEADERS_MAX = 100
@@ -288,7 +289,9 @@
         self.lingering = True
         try:
             self.transport.write_eof()
-        except (OSError, NotImplementedError, RuntimeError):
+        except (OSError, NotImplementedError, RuntimeError) as error:
+            # The caller has gone, or TLS cannot close one direction alone.
+            log.get().debug("connection closed at once", detail=str(error))
             self.transport.close()
             return
         self._reading_paused = False
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -5,9 +5,12 @@
 import asyncio
 import json
 from typing import Any
+from unittest import mock
 
 import pytest
+import structlog
 
+from currantcart.http1 import server
 from currantcart.settings import model as settings_model
 from tests.fakes.world import KEY, World
 
@@ -182,3 +185,23 @@
     reply = await fleet.call("grades-1", "/grades/a", method="HEAD")
     assert (reply.status, reply.body) == (200, b"")
     assert (await fleet.call("grades-1", "/grades/a")).whole
+
+
+@pytest.mark.parametrize("error", [OSError, NotImplementedError, RuntimeError])
+async def test_a_connection_that_cannot_linger_is_closed_and_logged(
+    error: type[Exception],
+) -> None:
+    """Guards against an error that is passed over without a line."""
+    connection = server.ServerConnection(
+        handler=mock.AsyncMock(),
+        refuse=mock.Mock(),
+        registry=set(),
+        loop=asyncio.get_running_loop(),
+    )
+    transport = mock.Mock()
+    transport.write_eof.side_effect = error("gone")
+    connection.connection_made(transport)
+    with structlog.testing.capture_logs() as lines:
+        connection.linger()
+    transport.close.assert_called_once_with()
+    assert [line["detail"] for line in lines] == ["gone"]
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -89,6 +89,8 @@
         """
         for item in items:
             if item.nodeid in self.entries:
+                # Not strict: a fault may show on some runs only, and the
+                # verdict must be the same on each.
                 item.add_marker(pytest.mark.xfail(reason=FILE, strict=False))
         complete_run = config.args == config.getini("testpaths")
         missing = unknown(
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -102,10 +102,7 @@
     store: platform_store.KeyValueStore,
     value: str,
 ) -> None:
-    """It became an empty value, or raised an error without a code.
-
-    The error ended the task that reads the configuration for the fleet.
-    """
+    """Guards against an error without a code, which ends the reader."""
     standin.write("op/config", value, 0)
     with pytest.raises(port.StoreOutcomeUnknown, match="op/config"):
         await store.read_range("op/")
--- a/tests/proxy/targets/test_cold_targets.py
+++ b/tests/proxy/targets/test_cold_targets.py
@@ -12,6 +12,8 @@
 
 RATE = 6.5
 BOUND = RATE * 1.5 + 8.0
+WARM_PER_SECOND = 4 * 18 / 0.5
+"""Rate of four warm targets with 18 slots in use and 0.5 s for a request."""
 
 
 def configure(mesh: fake_mesh.Mesh) -> None:
@@ -27,10 +29,7 @@
 async def test_all_nodes_together_stay_within_a_cold_targets_bound(
     mesh: fake_mesh.Mesh,
 ) -> None:
-    """One target of a service has just started; the others are warm and full.
-
-    18 requests of 0.5 s at each of four targets are 144 requests per second.
-    """
+    """Guards against a full service that overloads its only cold target."""
     configure(mesh)
     for number in range(4):
         warm = await mesh.add(f"n{number}")
@@ -41,7 +40,7 @@
     await mesh.report(fresh, cold=3.0)
     load = load_module.Load(mesh)
     await load.run(per_second=200, seconds=2.5)
-    assert load.statuses.count(200) >= 144 * 2.5
+    assert load.statuses.count(200) >= WARM_PER_SECOND * 2.5
     assert RATE <= most_in_a_second(arrivals) <= BOUND
 
 
@@ -104,11 +103,7 @@
 async def test_a_target_that_refuses_connections_gets_nothing_placed(
     mesh: fake_mesh.Mesh,
 ) -> None:
-    """A target crashes: its guard's connections are refused.
-
-    Until its next report it stayed ready, and each request to it spent a retry
-    of the shared budget, although nothing had reached it.
-    """
+    """Guards against retries that are spent on a crashed target."""
     configure(mesh)
     crashed = await mesh.add("a")
     for name in "bc":
@@ -147,12 +142,7 @@
 async def test_all_targets_start_cold_under_load_after_a_power_loss(
     mesh: fake_mesh.Mesh,
 ) -> None:
-    """All machines lose power while callers go on sending.
-
-    A cold target that gets more than the bound in a second crashes and comes
-    back cold, so one second of the full load would never end: 180 requests per
-    second, of which six cold targets bear 39.
-    """
+    """Guards against cold targets that crash again under the full load."""
     configure(mesh)
     for number in range(6):
         await mesh.add(f"n{number}", domain="abc"[number % 3])
@@ -209,11 +199,7 @@
 async def test_a_restarted_node_takes_its_target_as_cold_until_it_knows(
     mesh: fake_mesh.Mesh, *, answers: bool
 ) -> None:
-    """A node restarts as the evacuation of its failure domain ends.
-
-    Its target has cooled down meanwhile, and what the process before has
-    recorded of it says that it is warm.
-    """
+    """Guards against a target that cools down while its node is away."""
     configure(mesh)
     place = await mesh.add("a1", domain="a")
     await mesh.add("b1", domain="b", service="other")
@@ -230,11 +216,7 @@
 async def test_a_restarted_node_uses_a_warm_target_without_its_report(
     mesh: fake_mesh.Mesh, restarted: str
 ) -> None:
-    """The target is asked, since its next report may be 1.5 s away.
-
-    Where all nodes restart, the target is known before the configuration,
-    which names the path to ask at.
-    """
+    """Guards against a warm target that stays limited until its report."""
     configure(mesh)
     place = await mesh.add("a")
     await mesh.add("b", service="other")
--- a/tests/proxy/targets/test_stated_limits.py
+++ b/tests/proxy/targets/test_stated_limits.py
@@ -114,10 +114,7 @@
 async def test_a_restarted_node_does_not_flood_a_target_with_a_limit(
     mesh: fake_mesh.Mesh,
 ) -> None:
-    """The process that the target has told its limit is gone.
-
-    A slow target with many slots gets all that it holds before its next answer.
-    """
+    """Guards against a new process that fills all slots before an answer."""
     place = await lone_target(mesh, slots=200)
     place.target.work_seconds = 0.7
     place.target.limit = LIMIT
@@ -135,10 +132,7 @@
 async def test_an_answer_to_an_earlier_request_does_not_lift_a_limit(
     mesh: fake_mesh.Mesh,
 ) -> None:
-    """Forty requests that were sent before the first statement end late.
-
-    Their answers were begun without the limit.
-    """
+    """Guards against an answer that was begun before the limit was stated."""
     routes = [fake_mesh.route("read", "grades", timeout=20.0)]
     mesh.store.operate(names.CONFIG_KEY, fake_mesh.document(2, routes))
     place = await lone_target(mesh, slots=200)
@@ -233,10 +227,7 @@
 async def test_the_most_urgent_are_served_where_all_targets_state_a_limit(
     mesh: fake_mesh.Mesh,
 ) -> None:
-    """Three targets take 15 of 60 requests per second, of which 6 are urgent.
-
-    Refused without regard to importance, one in four would be served.
-    """
+    """Guards against a service at its limit that serves without priority."""
     urgent = fake_mesh.route("pay", "grades")
     other = fake_mesh.route("read", "grades")
     other[fake_mesh.ROUTE_COLUMNS.index("priority")] = 5
--- a/tests/proxy/test_statuses.py
+++ b/tests/proxy/test_statuses.py
@@ -11,10 +11,7 @@
 async def test_a_change_of_the_target_is_in_the_next_status(
     mesh: fake_mesh.Mesh, change: str
 ) -> None:
-    """One state serves a round of statuses, but never an outdated life cycle.
-
-    Peers would go on placing requests until the status after next.
-    """
+    """Guards against a cached state that outlives a change of life cycle."""
     place = await mesh.add("a")
     await mesh.settle(1.0)
     node = place.node
