Do less for each status: counts by sequence, checks on fewer ticks

Cause: at 77 nodes a node sends and receives 194 statuses a second before the first request. For each it built a dict of all workspaces' counts and compared it with what the peer was sent last, and on each tick it checked both streams of each peer.

Change: counts carry the sequence of their last change, so a status without changes costs nothing, and one result serves all streams of a round. Expedited counts are encoded once for all streams. Streams on which no answer is awaited are checked on each fourth tick. A stream between failure domains gets its compressor (32 KB, and 11 KB at the peer) with its first 256 bytes at once.

--- a/src/currantcart/proxy/statuses.py
+++ b/src/currantcart/proxy/statuses.py
@@ -56,6 +56,8 @@
         self.state = local_guard.state()
         self.state_of = local_guard.life_cycle()
         self.state_at = context.now
+        self.counts_cache: dict[int, dict[str, int]] = {}
+        self.counts_sequence = 0
 
     def status_for(self, item: link.Link) -> frames.Status:
         """Returns the status to send on a stream."""
@@ -69,13 +71,30 @@
             version=known.version,
             as_of_ms=floor_ms(known.as_of),
             target=self.target_state(now),
-            counts=item.unpublished(self.quotas.counts()),
+            counts=self.unsent_counts(item),
             left=self.peers.leaving_targets.get(item.peer.instance)
             if item.peer
             else None,
             evacuations=self.feed.evacuations.unsent(item),
         )
 
+    def unsent_counts(self, item: link.Link) -> dict[str, int]:
+        """Returns the counts that a peer lacks, and records them as sent.
+
+        One result serves all peers that were last sent their counts at the
+        same time.
+        """
+        sequence = self.quotas.sequence
+        if sequence != self.counts_sequence:
+            self.counts_cache.clear()
+            self.counts_sequence = sequence
+        counts = self.counts_cache.get(item.sent_counts)
+        if counts is None:
+            counts = self.quotas.counts_since(item.sent_counts)
+            self.counts_cache[item.sent_counts] = counts
+        item.sent_counts = sequence
+        return counts
+
     def target_state(self, now: float) -> frames.TargetState:
         """Returns the target's state; one serves a whole round of statuses.
 
--- a/src/currantcart/proxy/streams/framing.py
+++ b/src/currantcart/proxy/streams/framing.py
@@ -19,6 +19,12 @@
 More than that in one loop iteration means long bodies, which take long to
 compress and gain little.
 """
+COMPRESSOR_BYTES_MIN = 256
+"""Bytes of frames that are worth the first compressor of a stream.
+
+A compressor holds 32 KB, the peer's decompressor 11 KB. A stream that carries
+small statuses only gains a few bytes by them.
+"""
 LENGTH = struct.Struct(">I")
 
 
@@ -34,12 +40,14 @@
 
     Attributes:
       buffer: Encoded frames that were not sent yet.
-      compressor: Compresses them; None while the peer can't read compressed
-        frames, or is in the same failure domain.
+      compresses: Whether frames may be compressed: the peer can read that, and
+        is in another failure domain.
+      compressor: Compresses them; None before the first use.
     """
 
     def __init__(self) -> None:
         self.buffer = bytearray()
+        self.compresses = False
         self.compressor: compression.Compressor | None = None
 
     def add(self, frame: frames.Frame) -> None:
@@ -49,6 +57,10 @@
         frames.ENCODER.encode_into(frame, self.buffer, -1)
         LENGTH.pack_into(self.buffer, start, len(self.buffer) - start - 4)
 
+    def add_encoded(self, encoded: bytes) -> None:
+        """Adds a frame that `encode_frame` has encoded to the buffer."""
+        self.buffer += encoded
+
     def take(self) -> bytes:
         """Returns the buffered frames and clears the buffer."""
         buffered = bytes(self.buffer)
@@ -58,8 +70,12 @@
     def take_packed(self) -> bytes:
         """Returns the buffered frames, compressed if that was negotiated."""
         buffered = self.take()
-        if self.compressor is None or len(buffered) > PACKED_BYTES_MAX:
+        if not self.compresses or len(buffered) > PACKED_BYTES_MAX:
             return buffered
+        if self.compressor is None:
+            if len(buffered) < COMPRESSOR_BYTES_MIN:
+                return buffered
+            self.compressor = compression.Compressor()
         return encode_frame(frames.Packed(self.compressor.pack(buffered)))
 
 
--- a/src/currantcart/proxy/streams/link.py
+++ b/src/currantcart/proxy/streams/link.py
@@ -15,7 +15,7 @@
 from currantcart import errors
 from currantcart.http1 import transport as stream
 from currantcart.proxy import context as proxy_context
-from currantcart.proxy.streams import compression, frames, framing, peer_clock
+from currantcart.proxy.streams import frames, framing, peer_clock
 
 PROTOCOL = 1
 SUSPECT_MS = 900.0
@@ -127,7 +127,8 @@
       logged_unresponsive: Whether the peer was last logged as unresponsive.
       status_now: Peer's clock in its last `Hello` or status.
       status_at: When that frame was received.
-      published_counts: Counts of admitted requests last sent to the peer.
+      sent_counts: Sequence of the counts of admitted requests up to which the
+        peer was sent them with a status.
       sent_evacuations: Evacuated failure domains last sent to the peer; None
         before the first, or if the peer is to be sent them again.
       calls: Calls on it by number; their type is up to the owner.
@@ -155,7 +156,7 @@
         self.echoed_at = 0.0
         self.probed_at = 0.0
         self.logged_unresponsive = False
-        self.published_counts: dict[str, int] = {}
+        self.sent_counts = 0
         self.sent_version = 0
         self.sent_evacuations: frozenset[str] | None = None
         self.fetches = False
@@ -179,22 +180,22 @@
             )
         )
 
-    def unpublished(self, counts: dict[str, int]) -> dict[str, int]:
-        """Returns the counts that changed since last sent, and records them."""
-        published = self.published_counts
-        changed = {
-            name: count
-            for name, count in counts.items()
-            if published.get(name) != count
-        }
-        published.update(changed)
-        return changed
-
     def send(self, frame: frames.Frame) -> None:
         """Sends a frame at the end of this iteration of the event loop."""
         if self.transport is None:
             return
         self.writer.add(frame)
+        self.flush_soon()
+
+    def send_encoded(self, encoded: bytes) -> None:
+        """Sends a frame that was encoded once for several streams."""
+        if self.transport is None:
+            return
+        self.writer.add_encoded(encoded)
+        self.flush_soon()
+
+    def flush_soon(self) -> None:
+        """Writes the buffered frames at the end of this iteration."""
         if not self.flushing:
             self.flushing = True
             self.context.loop.call_soon(self.flush)
@@ -260,7 +261,7 @@
             hello.member.failure_domain != self.owner.member.failure_domain
         )
         if crosses_domains and hello.unpacks:
-            self.writer.compressor = compression.Compressor()
+            self.writer.compresses = True
         self.fetches = hello.fetches
         self.status_now, self.status_at = hello.now_ms, self.context.now
         if hello.age_ms >= 0.0:
--- a/src/currantcart/proxy/streams/peers.py
+++ b/src/currantcart/proxy/streams/peers.py
@@ -17,6 +17,12 @@
 RANK_CACHE_MS = 200.0
 # Silence after which a peer without an entry in the store is removed.
 DROP_MS = 12_000.0
+CHECK_TICKS = 4
+"""Ticks between two checks of the streams on which no answer is awaited.
+
+They close after more than a second of silence, so each tick would be more
+often than needed, and there are two for each peer.
+"""
 
 
 class Peers:
@@ -34,6 +40,7 @@
       leaving_targets: Id and start time of targets that were reported as
         leaving, by instance.
       publisher: Sends this node's status periodically.
+      ticks: Number of ticks since the start.
     """
 
     def __init__(
@@ -75,6 +82,7 @@
         self.members_listed = False
         self.rank_cache = (float("-inf"), 0)
         self.accepted: set[link.Link] = set()
+        self.ticks = 0
         self.leaving_targets: dict[str, tuple[str, int]] = {}
         self.reachability = reachability.Reachability(
             context,
@@ -397,21 +405,32 @@
         """Sends what is due, and probes, closes or dials streams."""
         now = self.context.now
         limits = link.Limits.of(self.context.status_interval_ms)
+        self.ticks += 1
+        checks_all = self.ticks % CHECK_TICKS == 0
         for peer in list(self.by_instance.values()):
             outgoing = peer.outgoing
             if outgoing is None:
                 if now >= peer.dial_after:
                     self.dial(peer)
-                continue
-            outgoing.check(now, limits)
-            if outgoing.peer and outgoing.is_awaited:
-                if outgoing.is_probe_due(now):
-                    outgoing.send_status(self.status(outgoing))
-                outgoing.log_unresponsive(now)
-        for item in list(self.accepted):
-            item.check(now, limits)
+            elif outgoing.is_awaited:
+                self.check_awaited(outgoing, now, limits)
+            elif checks_all:
+                outgoing.check(now, limits)
+        if checks_all:
+            for item in list(self.accepted):
+                item.check(now, limits)
         self.publisher.tick(now)
 
+    def check_awaited(
+        self, item: link.Link, now: float, limits: link.Limits
+    ) -> None:
+        """Checks a stream on which an answer is awaited, and probes it."""
+        item.check(now, limits)
+        if item.peer:
+            if item.is_probe_due(now):
+                item.send_status(self.status(item))
+            item.log_unresponsive(now)
+
     def close(self) -> None:
         """Closes all streams."""
         for peer in list(self.by_instance.values()):
--- a/src/currantcart/proxy/streams/publisher.py
+++ b/src/currantcart/proxy/streams/publisher.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable
 
 from currantcart.proxy import context as proxy_context
-from currantcart.proxy.streams import frames, link
+from currantcart.proxy.streams import frames, framing, link
 
 STATUS_MS = 400.0
 STATUS_MS_PER_PEER = 6.0
@@ -36,6 +36,7 @@
     Attributes:
       published_at: When the last status was sent.
       expedited_at: When expedited counts were last due.
+      expedited_counts: Expedited counts that were last sent.
     """
 
     def __init__(
@@ -63,6 +64,7 @@
         self.expedited = expedited
         self.published_at = 0.0
         self.expedited_at = 0.0
+        self.expedited_counts: dict[str, int] = {}
 
     def publish(self) -> None:
         """Sends this node's status to all peers now."""
@@ -81,10 +83,18 @@
             self.publish_counts(self.expedited())
 
     def publish_counts(self, counts: dict[str, int]) -> None:
-        """Sends to each peer the counts that have changed for it."""
-        if not counts:
+        """Sends the counts that have changed to all peers.
+
+        A peer that is introduced later gets all counts with its first status.
+        """
+        changed = {
+            name: count
+            for name, count in counts.items()
+            if self.expedited_counts.get(name) != count
+        }
+        if not changed:
             return
+        self.expedited_counts.update(changed)
+        encoded = framing.encode_frame(frames.Counts(changed))
         for item in self.introduced_links():
-            changed = item.unpublished(counts)
-            if changed:
-                item.send(frames.Counts(changed))
+            item.send_encoded(encoded)
--- a/src/currantcart/workspace/quota.py
+++ b/src/currantcart/workspace/quota.py
@@ -59,6 +59,7 @@
       unreported: Estimate of what others have admitted and not reported.
       expedited_at: Since when its counts are sent at once; negative while they
         are sent with the next status.
+      changed: `Quotas.sequence` of the last change of `admitted`.
     """
 
     rate_per_ms: float
@@ -72,6 +73,7 @@
         default_factory=unreported.Unreported
     )
     expedited_at: float = -1.0
+    changed: int = 0
 
     def is_expedited(self) -> bool:
         """Returns whether this node's admissions should be reported at once.
@@ -92,6 +94,7 @@
     Attributes:
       started_at: When this process started.
       buckets: Buckets by workspace.
+      sequence: Number of changes of the buckets' counts.
       reported: Admissions that each peer reported last, by workspace.
       silent_share: Share of the nodes that is silent, 0 to 1.
       nodes: Nodes that admit requests, this one included.
@@ -102,6 +105,7 @@
     def __init__(self, *, started_at: float = 0.0) -> None:
         self.started_at = started_at
         self.buckets: dict[str, Bucket] = {}
+        self.sequence = 0
         self.reported: dict[str, dict[str, int]] = {}
         self.silent_share = 0.0
         self.nodes = 1
@@ -162,6 +166,7 @@
             return max(1.0, missing / max(rate, 1e-6))
         bucket.tokens -= 1.0
         bucket.admitted += 1
+        self.record_change(bucket)
         bucket.unreported.record_local(now)
         return 0.0
 
@@ -206,13 +211,26 @@
         if bucket is not None:
             bucket.tokens = min(bucket.burst, bucket.tokens + 1.0)
             bucket.admitted -= 1
+            self.record_change(bucket)
 
-    def counts(self) -> dict[str, int]:
-        """Returns the number of requests this node admitted, by workspace."""
+    def record_change(self, bucket: Bucket) -> None:
+        """Records that the count of a bucket has changed."""
+        self.sequence += 1
+        bucket.changed = self.sequence
+
+    def counts_since(self, sequence: int) -> dict[str, int]:
+        """Returns the number of requests this node admitted, by workspace.
+
+        Args:
+          sequence: Value of `sequence` after which a count must have changed;
+            0 for all counts.
+        """
+        if sequence == self.sequence:
+            return {}
         return {
             name: bucket.admitted
             for name, bucket in self.buckets.items()
-            if bucket.admitted
+            if bucket.changed > sequence
         }
 
     def apply_counts(
--- a/tests/proxy/streams/test_framing.py
+++ b/tests/proxy/streams/test_framing.py
@@ -37,6 +37,7 @@
 def writer(*, packed: bool) -> framing.FrameWriter:
     made = framing.FrameWriter()
     if packed:
+        made.compresses = True
         made.compressor = compression.Compressor()
     return made
 
@@ -187,3 +188,16 @@
     data = framing.encode_frame(sent)[framing.LENGTH.size :]
     read = msgspec.msgpack.decode(data, type=PreviousHello)
     assert (read.member, read.unpacks, read.age_ms) == (member, True, 7.0)
+
+
+def test_a_stream_of_small_frames_gets_no_compressor() -> None:
+    """A compressor for each idle stream would use most of a node's memory."""
+    made = framing.FrameWriter()
+    made.compresses = True
+    made.add(frames.Cancel(1))
+    assert framing.FrameReader().feed(made.take_packed())
+    assert made.compressor is None
+    for number in range(10):
+        made.add(opening(number))
+    made.take_packed()
+    assert made.compressor is not None
--- a/tests/workspace/test_quota.py
+++ b/tests/workspace/test_quota.py
@@ -59,7 +59,7 @@
 
     def send_reports(self, now: float) -> None:
         for number, node in enumerate(self.nodes):
-            counts = node.counts()
+            counts = node.counts_since(0)
             if counts == self.reported.get(number):
                 continue
             self.reported[number] = counts
@@ -301,3 +301,17 @@
     fleet = Fleet(nodes)
     simulate(fleet, per_second=per_second, reported_ms=110, restart_at=2_000.0)
     assert fleet.most_in_a_window() <= ALLOWED
+
+
+def test_only_counts_that_changed_since_are_reported() -> None:
+    """A report of all counts to each peer would cost most of an idle node."""
+    node = quota.Quotas()
+    node.configure({"mill": (100.0, 100.0), "shop": (100.0, 100.0)}, 0.0)
+    node.admit("mill", 0.0)
+    before = node.sequence
+    assert node.counts_since(0) == {"mill": 1}
+    assert node.counts_since(before) == {}
+    node.admit("shop", 0.0)
+    assert node.counts_since(before) == {"shop": 1}
+    node.give_back("mill")
+    assert node.counts_since(before) == {"mill": 0, "shop": 1}
