--- a/bench/reference.py
+++ b/bench/reference.py
@@ -28,6 +28,11 @@
     ("", proxy_settings.ProxySettings),
     ("listen", proxy_settings.Listen),
     ("bounds", proxy_settings.Bounds),
+    ("exchange", proxy_settings.Exchange),
+    ("rate_queue", proxy_settings.RateQueue),
+    ("fair_shares", proxy_settings.FairShares),
+    ("placement", proxy_settings.Placement),
+    ("hand_back", proxy_settings.HandBack),
 )
 PROXY_HEAD = """
 # Settings of a node that a platform starts
--- a/src/currantcart/proxy/settings.py
+++ b/src/currantcart/proxy/settings.py
@@ -60,6 +60,68 @@
     cold_slack: float = 8.0
 
 
+class Exchange(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """How nodes exchange what they know.
+
+    Attributes:
+      mesh_nodes_max: Number of nodes up to which each node exchanges its
+        status with all others; a larger fleet uses relays. 0 means no limit.
+      targets_per_service: Targets of each service to which a node of a larger
+        fleet keeps streams.
+    """
+
+    mesh_nodes_max: Annotated[int, msgspec.Meta(ge=0)] = 0
+    targets_per_service: Annotated[int, msgspec.Meta(ge=2)] = 12
+
+
+class RateQueue(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Requests that wait for a token of their workspace's rate.
+
+    Attributes:
+      enabled: Whether requests wait; if not, one without a token is refused.
+      requests_max: Requests that may wait at this node.
+      bytes_max: Bytes of their bodies.
+    """
+
+    enabled: bool = False
+    requests_max: Annotated[int, msgspec.Meta(ge=1)] = 512
+    bytes_max: Annotated[int, msgspec.Meta(ge=0)] = 8 * 1024 * 1024
+
+
+class FairShares(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Fair shares of a service among workspaces.
+
+    Attributes:
+      enabled: Whether an overloaded service is shared fairly.
+      workspaces_tracked: Workspaces of each service whose usage is known one
+        by one; the others are counted together.
+    """
+
+    enabled: bool = False
+    workspaces_tracked: Annotated[int, msgspec.Meta(ge=1, le=256)] = 16
+
+
+class Placement(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Selection of targets.
+
+    Attributes:
+      by_completion: Whether a request goes to the target that is expected to
+        complete it first, rather than to the least loaded one.
+    """
+
+    by_completion: bool = False
+
+
+class HandBack(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Queued requests that are handed back to be placed elsewhere.
+
+    Attributes:
+      moves_max: How often one request may be handed back; 0 means never.
+    """
+
+    moves_max: Annotated[int, msgspec.Meta(ge=0, le=4)] = 0
+
+
 class ProxySettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """Settings of one node.
 
@@ -75,6 +137,11 @@
       descriptors: File descriptors that the process may open.
       first_start: Whether the whole fleet starts for the first time, so that
         no earlier process of the node has used the target.
+      exchange: How nodes exchange what they know.
+      rate_queue: Requests that wait for a token of their workspace's rate.
+      fair_shares: Fair shares of a service among workspaces.
+      placement: Selection of targets.
+      hand_back: Queued requests that are handed back.
     """
 
     instance: str
@@ -87,6 +154,11 @@
     bounds: Bounds = Bounds()
     descriptors: Annotated[int, msgspec.Meta(ge=512)] = 4_096
     first_start: bool = False
+    exchange: Exchange = Exchange()
+    rate_queue: RateQueue = RateQueue()
+    fair_shares: FairShares = FairShares()
+    placement: Placement = Placement()
+    hand_back: HandBack = HandBack()
 
 
 def split_address(value: str) -> tuple[str, int]:
--- a/src/currantcart/proxy/streams/frames.py
+++ b/src/currantcart/proxy/streams/frames.py
@@ -43,6 +43,10 @@
       born: Start time of its process (incarnation), in milliseconds since
         1970.
       work_ms: Processing time of a request; 0 while unknown.
+      work_by_kind: The same by kind of request; only kinds that were measured.
+      slow_now: How much longer than usual the running requests take; 1 if they
+        take as long as usual.
+      usage: Requests per second by workspace, only of those that use it most.
     """
 
     target_id: str = ""
@@ -54,6 +58,9 @@
     leaving: bool = False
     born: int = 0
     work_ms: float = 0.0
+    work_by_kind: dict[str, float] = {}
+    slow_now: float = 1
+    usage: dict[str, float] = {}
 
 
 class Evacuations(msgspec.Struct, array_like=True, frozen=True):
@@ -154,6 +161,10 @@
       from_retry: Whether it is a retry, or a call made by a retry.
       age_ms: How long its caller had waited when it was sent.
       placed_before: How many other targets it was sent to before.
+      kind: Kind of request: the name of its route; empty if not given.
+      workspace: Workspace that it belongs to, or that its root belongs to;
+        empty if there is none or it is not known.
+      weight: Weight of the workspace in fair shares; 0 if not given.
     """
 
     call: int
@@ -171,6 +182,9 @@
     from_retry: bool = False
     age_ms: float = 0.0
     placed_before: int = 0
+    kind: str = ""
+    workspace: str = ""
+    weight: float = 0
 
 
 class Data(msgspec.Struct, array_like=True, tag=5):
