--- a/src/currantcart/cli/base.py
+++ b/src/currantcart/cli/base.py
@@ -108,6 +108,24 @@
 async def ask_node(address: str, path: str) -> Any:
     """Requests JSON from the admin port of a node.
 
+    Raises:
+      errors.CurrantcartError: The node did not respond.
+    """
+    return await fetch(address, path, lambda response: response.json())
+
+
+async def fetch(
+    address: str,
+    path: str,
+    read: Callable[[aiohttp.ClientResponse], Awaitable[Value]],
+) -> Value:
+    """Requests a page from a port of a node.
+
+    Args:
+      address: Address of the port.
+      path: Path of the page.
+      read: Reads the body of the response.
+
     Raises:
       errors.CurrantcartError: The node did not respond.
     """
@@ -117,7 +135,7 @@
             aiohttp.ClientSession(timeout=timeout) as session,
             session.get(f"http://{address}{path}") as response,
         ):
-            return await response.json()
+            return await read(response)
     except (aiohttp.ClientError, TimeoutError, OSError) as error:
         raise errors.CurrantcartError(
             errors.Code.PEER_UNREACHABLE,
--- a/src/currantcart/cli/proxy.py
+++ b/src/currantcart/cli/proxy.py
@@ -2,17 +2,32 @@
 
 from __future__ import annotations
 
+import asyncio
 import pathlib
+from collections.abc import Iterator
 from typing import ClassVar
 
 from cleo.helpers import argument
 from cleo.io.inputs.argument import Argument
 from cleo.io.inputs.option import Option
 
-from currantcart import files
+from currantcart import errors, files
 from currantcart.cli import base, output
 from currantcart.platform import config
 from currantcart.proxy import settings as proxy_settings
+from currantcart.settings import model as settings_model
+
+METRICS_PREFIX = "currantcart_"
+SHOWN_TYPES = frozenset({"counter", "gauge"})
+PARTS: dict[str, tuple[str, ...]] = {
+    "rate queue": ("rate_decisions", "rate_waiting"),
+    "fair shares": ("fair_",),
+    "placement": ("placed",),
+    "hand-back": ("handed_back",),
+    "relays": ("relay", "digest"),
+}
+"""Prefixes of the names of the metrics of each part."""
+SHOW_COLUMNS = ["part", "metric", "labels", "value"]
 
 
 class ProxyCommand(base.BaseCommand):
@@ -48,6 +63,83 @@
         return 0
 
 
+def part_of(name: str) -> str:
+    """Returns the part to which a metric belongs; empty if to none."""
+    for part, prefixes in PARTS.items():
+        if name.startswith(prefixes):
+            return part
+    return ""
+
+
+def metric_rows(text: str) -> list[list[str]]:
+    """Returns the counters and gauges of the parts as table rows.
+
+    Args:
+      text: Metrics in the Prometheus text format.
+
+    Raises:
+      ValueError: The text has another format.
+    """
+    # Takes long to import, and only this command needs it.
+    from prometheus_client import parser
+
+    def rows() -> Iterator[list[str]]:
+        for family in parser.text_string_to_metric_families(text):
+            name = family.name.removeprefix(METRICS_PREFIX)
+            part = part_of(name)
+            if not part or family.type not in SHOWN_TYPES:
+                continue
+            for sample in family.samples:
+                labels = ",".join(
+                    f"{key}={value}"
+                    for key, value in sorted(sample.labels.items())
+                )
+                yield [part, name, labels, f"{sample.value:g}"]
+
+    order = list(PARTS)
+    return sorted(rows(), key=lambda row: (order.index(row[0]), row[1:3]))
+
+
+class ProxyShowCommand(base.BaseCommand):
+    """Shows the decisions that a running node has counted."""
+
+    name = "proxy show"
+    description = "Shows the decisions of a node of a platform's deployment."
+    arguments: ClassVar[list[Argument]] = [
+        argument("address", "Metrics address of the node.")
+    ]
+    options: ClassVar[list[Option]] = [base.JSON_OPTION]
+
+    def handle(self) -> int:
+        """Reads the node's metrics and prints those of the parts.
+
+        Raises:
+          base.UsageError: The address is invalid.
+          errors.CurrantcartError: The node did not respond with metrics.
+        """
+        address = self.argument("address")
+        try:
+            settings_model.check_address(address)
+        except ValueError as error:
+            raise base.UsageError(
+                f"address: found {address!r}, allowed: {error}"
+            ) from error
+        text = asyncio.run(
+            base.fetch(address, "/metrics", lambda response: response.text())
+        )
+        try:
+            rows = metric_rows(text)
+        except ValueError as error:
+            raise errors.CurrantcartError(
+                errors.Code.PEER_UNREACHABLE,
+                errors.Step.COMMAND,
+                f"no metrics: {error}",
+                peer=address,
+            ) from error
+        output.table(self, SHOW_COLUMNS, rows)
+        return 0
+
+
 class ConfigCheckCommand(base.BaseCommand):
     """Checks the configuration of a platform's operator."""
 
--- a/src/currantcart/run.py
+++ b/src/currantcart/run.py
@@ -46,6 +46,7 @@
     logs.LossesCommand,
     proxy.ProxyCommand,
     proxy.ProxyCheckCommand,
+    proxy.ProxyShowCommand,
     proxy.ConfigCheckCommand,
 )
 
