Let shares of free slots below one request accrue; play hand-back in waves

With few free slots elsewhere, the share of one guard was below one request, so nothing was handed back although slots stayed idle.

--- a/src/currantcart/admission/hand_back.py
+++ b/src/currantcart/admission/hand_back.py
@@ -5,16 +5,16 @@
 enough to be served elsewhere within its objective.
 
 The free slots of the others are known from statuses that are some time old, and
-every guard with a queue sees the same ones. A guard therefore takes only a part
-of them: its share of all requests that wait at the service's targets, less what
-it has handed back since those statuses were sent.
+every guard with a queue sees the same ones. A guard therefore takes a part of
+them only, its share of all requests that wait at the service's targets, and
+takes them again only after about the time for which a request holds a slot.
 """
 
 from __future__ import annotations
 
-import collections
 import dataclasses
 import enum
+import math
 from collections.abc import Iterable, Sequence
 
 from currantcart.admission import occupancy, slots
@@ -33,8 +33,12 @@
 
 The rest is left for arrivals that the statuses do not show yet.
 """
-STATUS_LAG_MS = 600.0
-"""Mean time after which the others' statuses show what was handed back."""
+SHARE_MS = 300.0
+"""Time in which a guard may take its share of the free slots once.
+
+About as long as a request holds a slot: after that the slot is free again, and
+the next status shows it.
+"""
 STATUS_AGE_MAX_MS = 1_200.0
 """Age from which a reported load is not used."""
 MOVE_MS = 30.0
@@ -94,21 +98,22 @@
     placements: int = 0
 
 
-class HandedBack:
-    """Requests that one guard has handed back recently.
+class Allowance:
+    """How many requests one guard may hand back.
+
+    A guard with a queue may take its share of the free slots within
+    `SHARE_MS`. Shares are often below one request, so they accrue.
 
     Attributes:
-      times: When they were, the oldest first.
+      credit: Requests that may be handed back, including a part of one.
+      updated_at: Time as of which `credit` holds.
     """
 
     def __init__(self) -> None:
-        self.times: collections.deque[float] = collections.deque()
+        self.credit = 0.0
+        self.updated_at = -math.inf
 
-    def record(self, now: float) -> None:
-        """Counts a request that is handed back."""
-        self.times.append(now)
-
-    def allowed(self, *, waiting: int, others: Load, now: float) -> int:
+    def update(self, *, waiting: int, others: Load, now: float) -> int:
         """Returns how many requests may be handed back now.
 
         Args:
@@ -116,16 +121,20 @@
           others: Load of the other targets of the service.
           now: Milliseconds of the node's clock.
         """
-        while self.times and now - self.times[0] >= STATUS_LAG_MS:
-            self.times.popleft()
+        since_ms = min(SHARE_MS, now - self.updated_at)
+        self.updated_at = now
         if not waiting or not others.free:
+            self.credit = 0.0
             return 0
-        recent = len(self.times)
-        # Requests handed back recently still count as waiting here: most of
-        # the other guards' statuses are as old as that.
-        own = waiting + recent
-        share = own / (own + others.waiting)
-        return max(0, int(FREE_PART * others.free * share) - recent)
+        share = waiting / (waiting + others.waiting)
+        usable = FREE_PART * others.free * share
+        accrued = self.credit + usable * since_ms / SHARE_MS
+        self.credit = min(accrued, max(1.0, usable))
+        return int(self.credit)
+
+    def take(self) -> None:
+        """Counts a request that is handed back."""
+        self.credit -= 1.0
 
 
 def expected_waits(
--- a/src/currantcart/proxy/targets/hand_backs.py
+++ b/src/currantcart/proxy/targets/hand_backs.py
@@ -41,7 +41,7 @@
 
     Attributes:
       queue: The target's slots and the queue of requests that wait for one.
-      recent: Requests that were handed back recently.
+      allowance: How many requests may be handed back.
       targets: Returns the reachable targets of the service; set by the node.
     """
 
@@ -53,7 +53,7 @@
     ) -> None:
         self.context = context
         self.queue = queue
-        self.recent = hand_back.HandedBack()
+        self.allowance = hand_back.Allowance()
         self.targets: Callable[[], Iterable[picker.Target]] = lambda: ()
 
     @property
@@ -86,7 +86,7 @@
         if not moves_max or not self.queue.waiting:
             return
         others = self.others()
-        allowed = self.recent.allowed(
+        allowed = self.allowance.update(
             waiting=self.queue.waiting, others=others, now=now
         )
         if not allowed:
@@ -128,7 +128,7 @@
             return False
         others = self.others()
         waiting = self.queue.waiting + 1
-        if not self.recent.allowed(waiting=waiting, others=others, now=now):
+        if not self.allowance.update(waiting=waiting, others=others, now=now):
             return False
         expected_ms = self.queue.expected_wait_ms(job.opening.priority, now)
         self.reply(job, hand_back.Cause.LATE, expected_ms, others)
@@ -153,7 +153,7 @@
         if reply is None:
             return
         now = self.context.now
-        self.recent.record(now)
+        self.allowance.take()
         waited_ms = now - job.arrived_at
         self.context.counts.add("handed_back", cause)
         self.context.counts.observe("handed_back_wait_seconds", waited_ms)
