Add the tokens of a pause only after the peers' counts were read

Cause: a process that resumes after a pause may read its callers before its peers. Its copy of a workspace's bucket then had the tokens of the whole pause, which the peers, that went on, had used as well: up to a burst more than the rate allows.

Change: a tick that comes more than 200 ms late shows a pause. For 100 ms after it no tokens are added; then those of the pause are, with the counts of that time subtracted.

The test fails with the refill as it was.

--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -352,6 +352,7 @@
         self.feed.tick()
         self.outbound.retries.record_fleet_size()
         now = self.context.now
+        self.quotas.tick(now)
         self.silence.tick(probing=bool(self.quotas.expedited()))
         self.quotas.set_silent_share(self.silence.share(), now)
         peer_count = len(self.peers.by_instance)
--- a/src/currantcart/workspace/quota.py
+++ b/src/currantcart/workspace/quota.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 
 from currantcart.workspace import unreported
 
@@ -38,6 +39,13 @@
 """
 COMMON_START_MS = 2_000.0
 """Age up to which a process may have started together with this one."""
+PAUSE_MS = 200.0
+"""Time without a tick after which the process counts as paused."""
+RESUME_MS = 100.0
+"""Time after a pause for which no tokens are added.
+
+Within it, the counts are read that peers have sent during the pause.
+"""
 LAG_MS = 500.0
 EXPEDITED_LAG_MS = 150.0
 """Initial values of `lag_ms` and, for expedited counts, `expedited_lag_ms`."""
@@ -98,6 +106,8 @@
       reported: Admissions that each peer reported last, by workspace.
       silent_share: Share of the nodes that is silent, 0 to 1.
       nodes: Nodes that admit requests, this one included.
+      ticked_at: Time of the last tick; infinite before the first.
+      resumed_at: When the process last resumed after a pause.
       lag_ms: Time after which a peer's admission is reported with its status.
       expedited_lag_ms: The same if counts are sent at once.
     """
@@ -109,6 +119,8 @@
         self.reported: dict[str, dict[str, int]] = {}
         self.silent_share = 0.0
         self.nodes = 1
+        self.ticked_at = math.inf
+        self.resumed_at = -math.inf
         self.lag_ms = LAG_MS
         self.expedited_lag_ms = EXPEDITED_LAG_MS
 
@@ -139,8 +151,25 @@
             kept[name] = bucket
         self.buckets = kept
 
+    def tick(self, now: float) -> None:
+        """Notes that the process runs; called at short intervals."""
+        self.notice_pause(now)
+        self.ticked_at = now
+
+    def notice_pause(self, now: float) -> None:
+        """Notes a pause of the process since the last tick."""
+        if now - self.ticked_at > PAUSE_MS:
+            self.resumed_at = self.ticked_at = now
+
     def refill(self, bucket: Bucket, now: float) -> None:
-        """Adds the tokens generated since the last refill."""
+        """Adds the tokens generated since the last refill.
+
+        Those of a pause are added once the peers' counts of that time have
+        been read: the peers went on, and may have used them.
+        """
+        self.notice_pause(now)
+        if now - self.resumed_at < RESUME_MS:
+            return
         rate = bucket.rate_per_ms * (1.0 - self.silent_share)
         bucket.tokens = min(
             bucket.burst, bucket.tokens + rate * (now - bucket.updated_at)
--- a/tests/workspace/test_quota.py
+++ b/tests/workspace/test_quota.py
@@ -315,3 +315,28 @@
     assert node.counts_since(before) == {"shop": 1}
     node.give_back("mill")
     assert node.counts_since(before) == {"mill": 0, "shop": 1}
+
+
+def test_tokens_of_a_pause_are_added_after_the_counts_of_the_others() -> None:
+    """A resumed process may read its callers before its peers.
+
+    With the tokens of the pause it would admit a burst that the others, which
+    went on, have used already.
+    """
+    node = quota.Quotas()
+    node.configure({"mill": (20.0, 20.0)}, 0.0)
+    node.apply_counts("other", {}, 0.0)
+    node.tick(0.0)
+    while not node.admit("mill", 1.0):
+        pass
+    resumed = 3_000.0
+    assert node.admit("mill", resumed)
+    node.tick(resumed + 10.0)
+    assert node.admit("mill", resumed + 11.0)
+    node.apply_counts("other", {"mill": 80}, resumed + 12.0)
+    node.tick(resumed + 60.0)
+    node.tick(resumed + 110.0)
+    assert node.admit("mill", resumed + 111.0)
+    for step in range(1, 20):
+        node.tick(resumed + 110.0 + 50.0 * step)
+    assert not node.admit("mill", resumed + 1_060.0)
