--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -61,6 +61,7 @@
         option("seconds", None, "Of faults in each.", flag=False, default="20"),
         option("keep", None, "Folder for the logs.", flag=False),
         option("own", None, "On the product's own interface."),
+        option("heavy", None, "With what is meant for heavy load."),
     ]
 
     def handle(self) -> int:
@@ -73,7 +74,9 @@
             if self.option("own"):
                 result = soak_own.run_own(number, seconds)
             else:
-                result = soak_run.run(number, seconds, folder)
+                result = soak_run.run(
+                    number, seconds, folder, heavy=bool(self.option("heavy"))
+                )
             print(json.dumps(dataclasses.asdict(result)), flush=True)
             failed_seeds += bool(result.broken)
         return 1 if failed_seeds else 0
--- a/bench/soak/promises.py
+++ b/bench/soak/promises.py
@@ -16,6 +16,9 @@
 LIMIT_WINDOW_SECONDS = 4.0
 LIMIT_OVERSHOOT = 1.5
 LIMIT_SLACK = 5
+RATE_WINDOW_SECONDS = 5.0
+RATE_OVERSHOOT = 0.1
+RATE_SLACK = 20
 
 
 @dataclasses.dataclass(slots=True)
@@ -32,6 +35,7 @@
       answer: Body of the answer.
       answered_id: Request id in the answer.
       instance: Instance of the node that it was sent to.
+      workspace: Workspace that holds the key.
     """
 
     request_id: str
@@ -43,6 +47,7 @@
     answer: bytes = b""
     answered_id: str = ""
     instance: str = ""
+    workspace: str = "mill"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -112,6 +117,45 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rate:
+    """Rate limit of a workspace over all nodes.
+
+    Attributes:
+      workspace: The workspace.
+      per_second: Requests per second.
+      burst: Requests beyond the rate that may arrive at once.
+    """
+
+    workspace: str
+    per_second: float
+    burst: float
+
+    @property
+    def allowed(self) -> float:
+        """Most requests that may be sent and run within one window."""
+        whole = self.per_second * RATE_WINDOW_SECONDS + self.burst
+        return whole * (1.0 + RATE_OVERSHOOT) + RATE_SLACK
+
+    def most(self, spans: list[tuple[float, float]]) -> int:
+        """Returns how many requests were sent and ran within some window.
+
+        Args:
+          spans: When each request was sent, and when it first ran.
+        """
+        window = RATE_WINDOW_SECONDS
+        return max(
+            (
+                sum(
+                    first <= sent and ran <= first + window
+                    for sent, ran in spans
+                )
+                for first, _ in spans
+            ),
+            default=0,
+        )
+
+
 @dataclasses.dataclass(slots=True)
 class Record:
     """Everything that callers and targets observed.
@@ -126,6 +170,7 @@
       disturbed: When each instance's node was last stopped or paused.
       limits: Stated limits in their order.
       evacuations: Evacuations in their order.
+      rates: Rate limits of workspaces.
       ended: Name and exit status of each process that exited unexpectedly.
     """
 
@@ -139,6 +184,7 @@
     disturbed: dict[str, float] = dataclasses.field(default_factory=dict)
     limits: list[Limit] = dataclasses.field(default_factory=list)
     evacuations: list[Evacuation] = dataclasses.field(default_factory=list)
+    rates: list[Rate] = dataclasses.field(default_factory=list)
     ended: list[str] = dataclasses.field(default_factory=list)
 
 
@@ -151,6 +197,12 @@
         arrivals = [ran.at for ran in record.ran if ran.target_id == target_id]
         if limit.broken_by(arrivals):
             yield f"LIMIT: {target_id} got more than {limit.per_second:.1f}/s"
+    for rate in record.rates:
+        most = rate.most(first_runs(record, rate.workspace))
+        if most > rate.allowed:
+            yield (
+                f"QUOTA: {most} of {rate.workspace}, allowed {rate.allowed:.0f}"
+            )
     runs: dict[str, int] = {}
     for ran in record.ran:
         runs[ran.request_id] = runs.get(ran.request_id, 0) + 1
@@ -164,13 +216,23 @@
         yield from broken_by_answer(sent, count)
 
 
+def first_runs(record: Record, workspace: str) -> list[tuple[float, float]]:
+    """Returns when a workspace's requests were sent and first ran."""
+    spans: dict[str, tuple[float, float]] = {}
+    for ran in record.ran:
+        sent = record.sent.get(ran.request_id)
+        if sent is not None and sent.workspace == workspace:
+            spans.setdefault(ran.request_id, (sent.at, ran.at))
+    return list(spans.values())
+
+
 def broken_by_run(record: Record, ran: Ran) -> Iterator[str]:
     """Yields the promises that one run breaks."""
     sent = record.sent.get(ran.request_id)
     if sent is None:
         yield f"UNASKED: {ran.request_id} ran and nobody sent it"
         return
-    if ran.body != sent.body or ran.workspace != "mill":
+    if ran.body != sent.body or ran.workspace != sent.workspace:
         yield f"UNASKED: {ran.request_id} ran with another body or workspace"
     if ran.expected != ran.target_id:
         yield f"ROUTE: {ran.request_id} ran at {ran.target_id}"
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -21,6 +21,11 @@
 PLANNED_SECONDS_MIN = 20.0
 """Duration from which a run has evacuations and targets that state a limit or a
 leave: they last longer than faults."""
+WORK_SECONDS = 0.02
+STUTTER_WORK_SECONDS = 0.25
+STUTTER_SECONDS = 0.6
+FULL_WORK_SECONDS = 1.2
+"""Work time of a target whose slots fill up at the load of a run."""
 REGRESSIONS = pathlib.Path(__file__).parent / "regressions.txt"
 
 
@@ -170,6 +175,37 @@
         await fleet.replace_target(instance)
 
 
+async def press(fleet: world.World, rng: random.Random) -> None:
+    """Has the workspace with a rate limit send several times its rate."""
+    await fleet.load(
+        world.RATE.per_second * rng.uniform(2.0, 6.0),
+        rng.uniform(3.0, 8.0),
+        call=fleet.call_with_rate,
+    )
+
+
+async def stutter(fleet: world.World, rng: random.Random) -> None:
+    """Makes the targets of a failure domain slow for short times."""
+    domain = rng.randrange(world.DOMAINS)
+    targets = [place.target for place in fleet.places[domain :: world.DOMAINS]]
+    for _ in range(rng.randint(2, 5)):
+        for seconds in (STUTTER_WORK_SECONDS, WORK_SECONDS):
+            for target in targets:
+                target.work_seconds = seconds
+            await asyncio.sleep(STUTTER_SECONDS)
+
+
+async def kill_full(fleet: world.World, rng: random.Random) -> None:
+    """Kills a node while requests wait for its target."""
+    instance = rng.choice(fleet.places)
+    target = instance.target
+    target.work_seconds = FULL_WORK_SECONDS
+    await hold(rng)
+    await fleet.restart(instance, signal.SIGKILL)
+    target.work_seconds = WORK_SECONDS
+
+
+HEAVY_FAULTS: tuple[Fault, ...] = (press, press, stutter, kill_full)
 FAULTS: tuple[Fault, ...] = (
     kill, stop_gracefully, pause, reread, spoil_wire, spoil_wire, reset_wire,
     spoil_store, spoil_target, replace, change,
@@ -203,16 +239,28 @@
         await asyncio.sleep(rng.uniform(0.1, 1.0))
 
 
-async def play(seed: int, seconds: float, folder: pathlib.Path) -> Result:
+async def play(
+    seed: int, seconds: float, folder: pathlib.Path, *, heavy: bool
+) -> Result:
     """Runs load and faults with one seed, then checks the promises."""
     rng = random.Random(seed)
-    fleet = world.World(folder, random.Random(seed + 1))
+    fleet = world.World(folder, random.Random(seed + 1), heavy=heavy)
     injected: list[str] = []
     try:
         await fleet.start(NODES)
         await asyncio.sleep(START_SECONDS)
         load = asyncio.create_task(fleet.load(PER_SECOND, seconds))
         planned = random.Random(seed + 2)
+        if heavy:
+            fleet.run_in_background(
+                series(
+                    fleet,
+                    HEAVY_FAULTS,
+                    random.Random(seed + 5),
+                    seconds - 1,
+                    injected,
+                )
+            )
         if seconds >= PLANNED_SECONDS_MIN:
             fleet.run_in_background(
                 series(fleet, (evacuate,), planned, seconds - 1, injected)
@@ -267,7 +315,11 @@
 
 
 def run(
-    seed: int, seconds: float, folder: pathlib.Path | None = None
+    seed: int,
+    seconds: float,
+    folder: pathlib.Path | None = None,
+    *,
+    heavy: bool = False,
 ) -> Result:
     """Runs one seed in a new event loop.
 
@@ -275,9 +327,10 @@
       seed: Seed of the run.
       seconds: Duration of the load with faults.
       folder: Keeps settings and logs; a temporary folder if None.
+      heavy: Whether the nodes use what is meant for heavy load.
     """
     if folder is not None:
         folder.mkdir(parents=True, exist_ok=True)
-        return asyncio.run(play(seed, seconds, folder))
+        return asyncio.run(play(seed, seconds, folder, heavy=heavy))
     with tempfile.TemporaryDirectory() as name:
-        return asyncio.run(play(seed, seconds, pathlib.Path(name)))
+        return asyncio.run(play(seed, seconds, pathlib.Path(name), heavy=heavy))
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -14,6 +14,7 @@
 import subprocess
 import sys
 import time
+from collections.abc import Callable, Coroutine
 
 from bench import fleet
 from bench.soak import processes, promises, wire
@@ -31,6 +32,15 @@
     "name", "host", "prefix", "kind", "timeout-s", "target-latency-s",
     "priority", "max-attempts", "auth-exempt", "service",
 ]  # fmt: skip
+HEAVY_SETTINGS = {
+    "exchange": {"mesh_nodes_max": 3, "targets_per_service": 3},
+    "rate_queue": {"enabled": True},
+    "fair_shares": {"enabled": True},
+    "placement": {"by_completion": True},
+    "hand_back": {"moves_max": 2},
+}
+RATE = promises.Rate("shop", 20.0, 20.0)
+RATE_KEY = "shop-key"
 
 
 @dataclasses.dataclass
@@ -91,10 +101,15 @@
       record: What callers and targets observed.
       places: Nodes with their targets.
       keys: API keys that are valid in the current configuration.
+      heavy: Whether the nodes use what is meant for heavy load, and a
+        workspace with a rate limit exists.
     """
 
-    def __init__(self, folder: pathlib.Path, rng: random.Random) -> None:
+    def __init__(
+        self, folder: pathlib.Path, rng: random.Random, *, heavy: bool = False
+    ) -> None:
         self.folder = folder
+        self.heavy = heavy
         self.rng = rng
         self.record = promises.Record()
         self.places: list[Instance] = []
@@ -116,6 +131,8 @@
         (self.store_port,) = fleet.free_ports(1)
         await loop.create_server(self.store.accept, HOST, self.store_port)
         self.configure()
+        if self.heavy:
+            self.record.rates.append(RATE)
         for number in range(count):
             await self.add(number)
         for instance in self.places:
@@ -141,13 +158,18 @@
                 ("pay", "non_idempotent"),
             )
         ]
+        workspaces: list[list[object]] = [["mill", self.keys, 0, 0]]
+        if self.heavy:
+            workspaces.append(
+                [RATE.workspace, [RATE_KEY], RATE.per_second, RATE.burst]
+            )
         document = {
             "version": self.version,
             "routes": {"columns": ROUTE_COLUMNS, "rows": rows},
             "services": {"columns": ["name"], "rows": [[SERVICE]]},
             "tenants": {
-                "columns": ["name", "api-keys"],
-                "rows": [["mill", self.keys]],
+                "columns": ["name", "api-keys", "rate-per-s", "burst-size"],
+                "rows": workspaces,
             },
         }
         self.store.operate(names.CONFIG_KEY, json.dumps(document).encode())
@@ -192,6 +214,7 @@
                         "advertised": f"{HOST}:{ports[5]}",
                     },
                     "store": f"{HOST}:{self.store_port}",
+                    **(HEAVY_SETTINGS if self.heavy else {}),
                 }
             )
         )
@@ -344,6 +367,22 @@
             time.monotonic(),
             body,
         )
+        return await self.send(sent, pay=pay)
+
+    async def call_with_rate(self) -> promises.Sent:
+        """Sends one request of the workspace with a rate limit."""
+        sent = promises.Sent(
+            f"r{next(self.numbers)}",
+            RATE_KEY,
+            True,
+            time.monotonic(),
+            b"",
+            workspace=RATE.workspace,
+        )
+        return await self.send(sent, pay=False)
+
+    async def send(self, sent: promises.Sent, *, pay: bool) -> promises.Sent:
+        """Sends a request to a random node and records its answer."""
         self.record.sent[sent.request_id] = sent
         instance = self.rng.choice(self.places)
         method, path = ("POST", "/pay/1") if pay else ("GET", "/read/1")
@@ -354,7 +393,7 @@
         )
         sent.instance = instance.name
         answer = await self.exchange(
-            instance.ports[0], head, body, ANSWER_SECONDS_MAX
+            instance.ports[0], head, sent.body, ANSWER_SECONDS_MAX
         )
         sent.status, sent.answer = answer.status, answer.body
         sent.answered_id = answer.fields.get("currantcart-request-id", "")
@@ -396,13 +435,24 @@
                 writer.transport.abort()
 
     async def load(
-        self, per_second: float, seconds: float
+        self,
+        per_second: float,
+        seconds: float,
+        *,
+        call: Callable[[], Coroutine[None, None, promises.Sent]] | None = None,
     ) -> list[promises.Sent]:
-        """Sends requests at a mean rate; returns them once all have ended."""
+        """Sends requests at a mean rate; returns them once all have ended.
+
+        Args:
+          per_second: Requests per second.
+          seconds: For how long.
+          call: Sends one request; `call` by default.
+        """
+        call = call or self.call
         calls: list[asyncio.Task[promises.Sent]] = []
         end = time.monotonic() + seconds
         while time.monotonic() < end:
-            calls.append(asyncio.create_task(self.call()))
+            calls.append(asyncio.create_task(call()))
             await asyncio.sleep(self.rng.expovariate(per_second))
         return list(await asyncio.gather(*calls))
 
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -77,6 +77,25 @@
     return record
 
 
+def above_rate(*, requests: int, seconds: float) -> promises.Record:
+    record = valid_record()
+    record.rates = [promises.Rate("shop", 2.0, 10.0)]
+    for number in range(requests):
+        name, at = f"s{number}", 20.0 + seconds * number / requests
+        record.sent[name] = promises.Sent(
+            name, "k", True, at, b"", workspace="shop"
+        )
+        record.ran.append(promises.Ran(name, "t1", at, b"", "shop", "t1"))
+    return record
+
+
+def test_requests_within_the_rate_are_no_violation() -> None:
+    record = above_rate(requests=42, seconds=5.0)
+    assert not list(promises.broken(record))
+    record = above_rate(requests=80, seconds=11.0)
+    assert not list(promises.broken(record))
+
+
 def test_valid_record_has_no_violation() -> None:
     assert not list(promises.broken(valid_record()))
 
@@ -98,6 +117,7 @@
         (evacuated(), "EVAC"),
         (limited(), "LIMIT"),
         (told_leave(), "DRAIN"),
+        (above_rate(requests=43, seconds=4.9), "QUOTA"),
         (ended(), "ENDED"),
     ],
 )
