--- a/src/currantcart/proxy/streams/reachability.py
+++ b/src/currantcart/proxy/streams/reachability.py
@@ -86,11 +86,17 @@
         self.reachable_cache[service] = (now, found)
         return found
 
-    def candidates(self, service: str) -> list[picker.Target]:
+    def candidates(
+        self, service: str, *, far_max: int = CANDIDATES_FAR
+    ) -> list[picker.Target]:
         """Returns the candidates for one request.
 
         These are all reachable targets, or for a large service a sample that
         favours the local failure domain.
+
+        Args:
+          service: The service.
+          far_max: Largest number of targets of other failure domains.
         """
         found = self.reachable(service)
         if len(found) <= CANDIDATES_ALL:
@@ -103,7 +109,7 @@
         rng = self.context.rng
         return (
             rng.sample(near, min(len(near), CANDIDATES_NEAR))
-            + rng.sample(far, min(len(far), CANDIDATES_FAR))
+            + rng.sample(far, min(len(far), far_max))
             + [item for item in near if item is self.local_target]
         )
 
