Place requests by expected completion at the nodes of a platform

Guards report work times by kind and the pace, calls carry their kind, and the outbound dispatch makes forecasts from them.

--- a/src/currantcart/proxy/requests/call.py
+++ b/src/currantcart/proxy/requests/call.py
@@ -43,6 +43,9 @@
       local_reply: Receives the result of the local guard; a later attempt
         replaces it, so that results of an earlier one are ignored.
       levels: Pressure levels below the service when shedding was decided.
+      placed_at: When the target of the current attempt was chosen.
+      expected_ms: Expected time from then until the answer; 0 if unknown.
+      expects_wait: Whether all slots of that target were in use.
     """
 
     request: intake.Request
@@ -68,3 +71,6 @@
     missing: int = 0
     local_reply: object = None
     levels: pressure.Pressure = dataclasses.field(default_factory=dict)
+    placed_at: float = 0.0
+    expected_ms: float = 0.0
+    expects_wait: bool = False
--- a/src/currantcart/proxy/requests/completion.py
+++ b/src/currantcart/proxy/requests/completion.py
@@ -21,6 +21,11 @@
     counts.observe("request_seconds", since, call.service)
 
 
+def expected(call: call_module.Call) -> dict[str, int]:
+    """Returns the expected time at the last target, for a log line."""
+    return {"expected_ms": round(call.expected_ms)} if call.expected_ms else {}
+
+
 def log_answer(
     context: proxy_context.Context, call: call_module.Call, status: int
 ) -> None:
@@ -40,6 +45,7 @@
         had_it=",".join(sorted(call.tried_instances)),
         after_ms=round(after_ms),
         objective_ms=round(objective_ms),
+        **expected(call),
         version=context.freshness.version,
     )
 
@@ -86,6 +92,7 @@
         outcomes=",".join(item.name.lower() for item in call.outcomes),
         had_it=",".join(sorted(call.tried_instances)),
         after_ms=round(context.now - call.request.head_received_at),
+        **expected(call),
         version=context.freshness.version,
         candidates=candidates(context, call, known),
     )
--- a/src/currantcart/proxy/requests/outbound.py
+++ b/src/currantcart/proxy/requests/outbound.py
@@ -14,12 +14,12 @@
     ingress,
     intake,
     pending,
+    placement,
 )
 from currantcart.proxy.requests import call as call_module
 from currantcart.proxy.requests import retries as retries_module
 from currantcart.proxy.streams import peers as peers_module
 from currantcart.proxy.targets import guard
-from currantcart.routing import picker
 from currantcart.workspace import quota
 
 GUARDS_MAX = 3
@@ -47,6 +47,7 @@
       calls: Requests that have not ended.
       ingress: Sheds root requests when services further down are saturated.
       attempts: Sends requests to guards.
+      placement: Selects their targets.
       pending: Requests that wait until a target is known.
       retries: Decides which requests are retried.
     """
@@ -58,16 +59,11 @@
         local_guard: guard.Guard,
         quotas: quota.Quotas,
     ) -> None:
-        settings = context.settings
         self.context = context
         self.guard = local_guard
         self.quotas = quotas
         self.peers: peers_module.Peers | None = None
-        self.picker = picker.Picker(
-            instance=settings.instance,
-            failure_domain=settings.failure_domain,
-            rng=context.rng,
-        )
+        self.placement = placement.Placement(context)
         self.calls: set[call_module.Call] = set()
         self.ingress = ingress.IngressShedder(
             context, pressure_on=self.pressure_on
@@ -151,13 +147,7 @@
         now = self.context.now
         if call.service == self.peers.local_target.service:
             self.refresh_local_load(now)
-        targets = self.peers.reachability.candidates(call.service)
-        chosen = self.picker.choose(
-            targets,
-            now=now,
-            exclude=call.tried_instances,
-            objective_ms=call.request.route.objective_ms,
-        )
+        chosen = self.placement.choose(call, self.peers.reachability)
         if chosen is None:
             if self.peers.reachability.is_evacuated(call.service):
                 call.last_code = "domain_evacuated"
@@ -206,6 +196,8 @@
         """Ends a request with its target's answer."""
         failed = status >= status_module.SERVER_ERROR
         self.attempts.apply_event(call, attempt.Event.ANSWER)
+        if not failed:
+            self.placement.record_answer(call)
         completion.count_end(self.context, call, f"{status // 100}xx")
         self.attempts.end_attempt(call, failed=failed)
         self.remove(call)
--- a/src/currantcart/proxy/streams/peer_clock.py
+++ b/src/currantcart/proxy/streams/peer_clock.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 RESOLUTION_MS = 1.0
 """Resolution of times in a status; the error counts as round-trip time."""
 
@@ -38,6 +40,13 @@
             self.round_trip_ms = round_trip
             self.offset_ms = now - peer_now - round_trip
 
+    @property
+    def transit_ms(self) -> float:
+        """Shortest round-trip time that was measured; 0 before the first."""
+        if math.isinf(self.round_trip_ms):
+            return 0.0
+        return self.round_trip_ms - RESOLUTION_MS
+
     def to_own(self, peer_ms: float) -> float:
         """Converts a time on the peer's clock to the local clock."""
         return peer_ms + self.offset_ms
--- a/src/currantcart/proxy/streams/peers.py
+++ b/src/currantcart/proxy/streams/peers.py
@@ -323,6 +323,7 @@
         peer.has_reported = True
         peer.version = status.version
         self.update_target(peer.target, status.target)
+        peer.target.transit_ms = item.clock.transit_ms
         self.on_status(peer, item, status)
         if not item.dialled:
             # The dialler sets the interval: its status is answered at once, and
@@ -348,7 +349,12 @@
         known.ready = state.ready
         known.cold_until = self.context.now + state.cold_ms
         known.pressure = state.pressure
-        known.work_ms = state.work_ms
+        known.update_speed(
+            work_ms=state.work_ms,
+            work_by_kind=state.work_by_kind,
+            slow_now=state.slow_now,
+            now=self.context.now,
+        )
         known.update_load(
             busy=state.busy, limit=state.limit, now=self.context.now
         )
--- a/src/currantcart/proxy/targets/guard.py
+++ b/src/currantcart/proxy/targets/guard.py
@@ -103,6 +103,7 @@
             self.exchange.reset()
         if (target_id, born) != (self.target_id, self.born):
             self.statements.reset()
+            self.exchange.reset_speed()
             self.queue.rate.forget_limit(self.context.now)
         self.target_id = target_id
         self.born = born
@@ -146,7 +147,7 @@
 
     def state(self) -> frames.TargetState:
         """Returns the target's state as published to peers."""
-        return frames.TargetState(
+        state = frames.TargetState(
             target_id=self.target_id,
             ready=self.is_open,
             limit=self.limit(),
@@ -157,6 +158,11 @@
             born=self.born,
             work_ms=math.ceil(self.exchange.work_time.reported_ms),
         )
+        if self.context.settings.placement.by_completion:
+            now = self.context.now
+            state.work_by_kind = self.exchange.work_by_kind.report(now)
+            state.slow_now = self.exchange.pace.slow_now(now)
+        return state
 
     @property
     def admits(self) -> bool:
--- a/src/currantcart/proxy/targets/job.py
+++ b/src/currantcart/proxy/targets/job.py
@@ -50,6 +50,7 @@
       ticket: Its place in the queue or its slot.
       connection: Connection to the target that carries it.
       handed_at: Time at which it was written to the target; negative before.
+      pace_weight: Its weight in the pace of the target while it runs there.
     """
 
     opening: frames.Open
@@ -59,6 +60,7 @@
     ticket: slots.Ticket[Job] | None = None
     connection: pool.Connection | None = None
     handed_at: float = -1.0
+    pace_weight: float = 0.0
 
     def lineage(self) -> lineage.Lineage:
         """Returns the lineage of the calls that the target makes for it."""
--- a/src/currantcart/proxy/targets/target_exchange.py
+++ b/src/currantcart/proxy/targets/target_exchange.py
@@ -4,7 +4,7 @@
 
 from typing import Protocol
 
-from currantcart.admission import work_time
+from currantcart.admission import work_by_kind, work_time
 from currantcart.http1 import pool, status
 from currantcart.proxy import context as proxy_context
 from currantcart.proxy import settings as proxy_settings
@@ -52,6 +52,8 @@
       deadline_line: Template of the deadline header.
       expected_line: Template of the header with the expected target.
       work_time: Smoothed time that the target works on a request.
+      work_by_kind: The same by kind of request.
+      pace: How the running requests compare with it.
     """
 
     def __init__(self, context: proxy_context.Context, slots: Slots) -> None:
@@ -65,6 +67,8 @@
         self.deadline_line = f"{names.deadline}: %d\r\n".encode()
         self.expected_line = f"{names.expected}: %s\r\n".encode()
         self.work_time = work_time.WorkTime()
+        self.work_by_kind = work_by_kind.WorkByKind()
+        self.pace = work_by_kind.Pace()
 
     def reset(self) -> None:
         """Closes all connections and resets measurements for a new target.
@@ -74,6 +78,34 @@
         """
         self.pool.close()
         self.work_time = work_time.WorkTime()
+        self.reset_speed()
+
+    def reset_speed(self) -> None:
+        """Discards the speed of a target whose process has ended."""
+        self.work_by_kind = work_by_kind.WorkByKind()
+        self.pace.reset()
+
+    def begin_work(self, job: job_module.Job, now: float) -> None:
+        """Records that a request was handed to the target."""
+        if self.context.settings.placement.by_completion:
+            usual_ms = self.work_by_kind.usual_ms(job.opening.kind)
+            job.pace_weight = self.pace.start(usual_ms, now)
+
+    def end_work(
+        self, job: job_module.Job, now: float, *, completed: bool
+    ) -> None:
+        """Records that a request has left the target.
+
+        Args:
+          job: The request.
+          now: Milliseconds of the node's clock.
+          completed: Whether the target ran it and did not fail.
+        """
+        self.pace.end(job.pace_weight, now, completed=completed)
+        job.pace_weight = 0.0
+        if completed and self.context.settings.placement.by_completion:
+            worked_ms = now - job.handed_at
+            self.work_by_kind.record(job.opening.kind, worked_ms, now)
 
     def start(self, job: job_module.Job) -> None:
         """Sends a request on a pooled connection or dials a new one."""
@@ -121,6 +153,7 @@
         opening, now = job.opening, self.context.now
         job.connection = connection
         job.handed_at = now
+        self.begin_work(job, now)
         self.slots.record_sent(now)
         self.context.counts.observe("queue_seconds", now - job.arrived_at)
         parts = [
@@ -162,6 +195,7 @@
         now = self.context.now
         if not answer.refused and not (shown is not None and answer.sealed):
             connection.abort()
+            self.end_work(job, now, completed=False)
             self.slots.free(job)
             self.report_lost(job, "answer_not_sealed")
             return True
@@ -170,8 +204,10 @@
             self.slots.record_answer(job, answer)
         worked_ms = now - job.handed_at
         self.context.counts.observe("target_seconds", worked_ms)
-        if response.status < status.SERVER_ERROR:
+        failed = response.status >= status.SERVER_ERROR
+        if not failed:
             self.work_time.record(worked_ms)
+        self.end_work(job, now, completed=not failed and not answer.refused)
         if now - job.arrived_at > job.opening.objective_ms * SLOW_OF_OBJECTIVE:
             self.log_slow(job, now)
         self.pool.give_back(connection, now)
@@ -197,6 +233,7 @@
     def handle_connection_lost(self, job: job_module.Job, reason: str) -> None:
         """Ends a request whose connection ended before a complete response."""
         job.connection = None
+        self.end_work(job, self.context.now, completed=False)
         self.slots.free(job)
         self.context.log.event(
             "answer_lost",
@@ -222,3 +259,9 @@
         if job.connection is not None:
             job.connection.abort()
             job.connection = None
+            now = self.context.now
+            self.end_work(job, now, completed=False)
+            if self.context.settings.placement.by_completion:
+                self.work_by_kind.record_cancelled(
+                    job.opening.kind, now - job.handed_at, now
+                )
--- a/src/currantcart/telemetry/counts.py
+++ b/src/currantcart/telemetry/counts.py
@@ -23,7 +23,7 @@
     Attributes:
       counters: Counts by metric and label values.
       histograms: Observations per bucket, followed by their sum in
-        milliseconds, by metric and label values.
+        thousandths, by metric and label values.
       gauges: Functions that return the current value, by metric; called on
         each scrape.
       service_gauges: Functions that return the current values by service, by
@@ -51,11 +51,12 @@
             labels = ("other",) * len(labels)
         counter[labels] += 1
 
-    def observe(self, name: str, milliseconds: float, *labels: str) -> None:
-        """Records a latency in a histogram."""
+    def observe(self, name: str, thousandths: float, *labels: str) -> None:
+        """Records a latency in ms, or a ratio in thousandths."""
+        buckets = definitions.buckets(name)
         cells = self.histograms[name].get(labels)
         if cells is None:
-            cells = [0.0] * (len(definitions.BUCKETS_MS) + 2)
+            cells = [0.0] * (len(buckets) + 2)
             self.histograms[name][labels] = cells
-        cells[bisect.bisect_left(definitions.BUCKETS_MS, milliseconds)] += 1
-        cells[-1] += milliseconds
+        cells[bisect.bisect_left(buckets, thousandths)] += 1
+        cells[-1] += thousandths
--- a/src/currantcart/telemetry/definitions.py
+++ b/src/currantcart/telemetry/definitions.py
@@ -7,6 +7,14 @@
     5_000.0, 10_000.0,
 )  # fmt: skip
 
+BUCKETS_OF = {
+    "placed_slowness": (
+        500.0, 600.0, 700.0, 800.0, 900.0, 1_000.0, 1_200.0, 1_500.0, 2_000.0,
+        3_000.0, 5_000.0,
+    ),
+}  # fmt: skip
+"""Buckets of histograms of ratios, in thousandths."""
+
 COUNTERS: dict[str, tuple[str, list[str]]] = {
     "requests": (
         "Requests of callers and targets that were ended, by outcome",
@@ -33,6 +41,10 @@
     "target_requests": ("Requests sent to the target", []),
     "callers_closed": ("Idle connections closed for others", ["cause"]),
     "store_calls": ("Calls to the store, by result", ["call", "result"]),
+    "placed": (
+        "Requests of known work, by how near the chosen target is",
+        ["service", "place"],
+    ),
     "links_lost": ("Streams to peers that were lost", ["reason"]),
 }
 HISTOGRAMS: dict[str, tuple[str, list[str]]] = {
@@ -41,8 +53,19 @@
         ["service"],
     ),
     "queue_seconds": ("Wait for a slot beside the target", []),
+    "placed_slowness": (
+        "Work time at the chosen target over that at the median one",
+        ["service"],
+    ),
     "target_seconds": ("From handing over to the target's answer", []),
 }
+
+
+def buckets(name: str) -> tuple[float, ...]:
+    """Returns the upper bounds of a histogram's buckets, in thousandths."""
+    return BUCKETS_OF.get(name, BUCKETS_MS)
+
+
 GAUGES = {
     "config_version": "Configuration version in force",
     "config_age_seconds": "Age of the proof that it is the newest",
--- a/src/currantcart/telemetry/exposition.py
+++ b/src/currantcart/telemetry/exposition.py
@@ -51,11 +51,11 @@
     def histogram(
         self, name: str, text: str, labels: list[str]
     ) -> core.HistogramMetricFamily:
-        """Returns the metric family of a histogram, in seconds."""
+        """Returns the metric family of a histogram, in seconds or as ratio."""
         family = core.HistogramMetricFamily(
             f"currantcart_{name}", text, labels=labels
         )
-        bounds = [str(bound / MS) for bound in definitions.BUCKETS_MS] + [
+        bounds = [str(bound / MS) for bound in definitions.buckets(name)] + [
             "+Inf"
         ]
         for values, cells in self.counts.histograms[name].items():
