Count only avoidable lateness, and bound herding onto fast targets

Cause: among equally slow targets the random part of the cost outweighed the distance, so requests left their domain for nothing; reports of short slow times from a ratio of 1.4 sent requests to few other targets (a queue of 19 instead of 5 at load 0.4).

Change: lateness counts beyond that at the fastest target; the pace is reported from a ratio of 2; half of the lateness is random; less urgent requests are charged less for fast slots. Requests that time out count for the tail.

--- a/src/currantcart/admission/work_by_kind.py
+++ b/src/currantcart/admission/work_by_kind.py
@@ -32,10 +32,11 @@
 With fewer completions in the window, the ratio is mostly noise.
 """
 USUAL_PRIOR = 50.0
-SLOW_NOW_MIN = 1.4
+SLOW_NOW_MIN = 2.0
 """Ratio below which the pace is reported as usual.
 
-With 12 completions in the window, the ratio varies by 0.15.
+With 1.4, reports of short slow times that were over sent requests to few other
+targets, and gained nothing.
 """
 SLOW_NOW_MAX = 4.0
 SLOW_NOW_STEP = 0.25
--- a/src/currantcart/proxy/requests/outbound.py
+++ b/src/currantcart/proxy/requests/outbound.py
@@ -197,7 +197,7 @@
         failed = status >= status_module.SERVER_ERROR
         self.attempts.apply_event(call, attempt.Event.ANSWER)
         if not failed:
-            self.placement.record_answer(call)
+            self.placement.record_end(call, answered=True)
         completion.count_end(self.context, call, f"{status // 100}xx")
         self.attempts.end_attempt(call, failed=failed)
         self.remove(call)
@@ -294,6 +294,8 @@
     def expire(self, call: call_module.Call) -> None:
         """Ends a request whose deadline has passed."""
         if not call.done:
+            if call.target is not None:
+                self.placement.record_end(call, answered=False)
             self.attempts.cancel(call)
             self.finish(call, 504, "deadline_exceeded")
 
--- a/src/currantcart/proxy/requests/placement.py
+++ b/src/currantcart/proxy/requests/placement.py
@@ -120,11 +120,15 @@
         near = target.failure_domain == self.picker.failure_domain
         return "near" if near else "far"
 
-    def record_answer(self, call: call_module.Call) -> None:
-        """Learns from the time of an answer how much times vary.
+    def record_end(self, call: call_module.Call, *, answered: bool) -> None:
+        """Learns from the time of a request how much times vary.
 
         A wait for a slot would count as variation of the work, so only
         requests are taken that found a free one.
+
+        Args:
+          call: The request, before its attempt is ended.
+          answered: Whether its target answered it; otherwise its time ended.
         """
         expected = self.by_service.get(call.service)
         if expected is None or not call.expected_ms or call.expects_wait:
@@ -133,6 +137,7 @@
             call.request.route.name,
             actual_ms=self.context.now - call.placed_at,
             expected_ms=call.expected_ms,
+            answered=answered,
         )
 
 
--- a/src/currantcart/routing/completion.py
+++ b/src/currantcart/routing/completion.py
@@ -19,7 +19,7 @@
 LATE_COST = 60.0
 """Cost of a request that is surely late, as a load.
 
-Another failure domain costs 1.1, so a request leaves its own for a chance of an
+Another failure domain costs 0.9, so a request leaves its own for a chance of an
 answer in time that is higher by 1 (urgent) or 2 in 100.
 """
 RANKS = 3
@@ -28,7 +28,8 @@
 """Reported load from which a wait is expected: reports are out of date."""
 RESERVED_LOAD = 0.5
 """Load of a fast target from which less urgent requests are charged."""
-RESERVED_COST = 4.0
+RESERVED_COST = 1.0
+"""Charge at full load. With 4, less urgent requests queued at slow targets."""
 SLOW_NOW_HALF_LIFE_MS = 500.0
 LOAD_TOLERANCE = 1.3
 """Ratio of slowness below which loads are compared without it."""
@@ -56,6 +57,16 @@
         above = ratio > self.log_tail
         self.log_tail += QUANTILE_STEP * (TAIL_QUANTILE - (not above))
 
+    def record_timeout(self, elapsed_ms: float, expected_ms: float) -> None:
+        """Records a request that was ended before its answer.
+
+        It counts only if it took longer than the tail already: otherwise its
+        place among the others is not known.
+        """
+        ratio = math.log(max(elapsed_ms, 0.1) / max(expected_ms, 0.1))
+        if ratio > self.log_tail:
+            self.log_tail += QUANTILE_STEP * TAIL_QUANTILE
+
     @property
     def ratio(self) -> float:
         """Ratio of the 95th percentile to the median."""
@@ -173,7 +184,7 @@
     Attributes:
       slowness: Factor on the work time there.
       load_factor: Factor on the load there.
-      late: Cost of the expected lateness.
+      late: Cost of the lateness beyond that at the fastest target.
       handicap: Factor on the work time for the distance.
     """
 
@@ -189,12 +200,16 @@
     Attributes:
       work: What such a request needs.
       speeds: Speeds of the service's targets.
+      least_late: Cost of the lateness at the fastest target.
       prospects: Prospects that were worked out, by instance.
     """
 
     def __init__(self, work: Work, speeds: speed.Speeds) -> None:
         self.work = work
         self.speeds = speeds
+        self.least_late = lateness_cost(
+            work, slowness=speeds.fastest, before_ms=0.0
+        )
         self.prospects: dict[str, Prospect] = {}
 
     def prospect(self, instance: str, *, handicap: float) -> Prospect:
@@ -209,14 +224,25 @@
         made = Prospect(
             slowness=slowness,
             load_factor=ratio if ratio > LOAD_TOLERANCE else 1.0,
-            late=lateness_cost(
-                self.work, slowness=slowness * handicap, before_ms=0.0
-            ),
+            late=self.avoidable_lateness(slowness * handicap, before_ms=0.0),
             handicap=handicap,
         )
         self.prospects[instance] = made
         return made
 
+    def avoidable_lateness(self, slowness: float, *, before_ms: float) -> float:
+        """Returns the cost of the lateness beyond that at the fastest target.
+
+        The rest cannot be avoided, so it must not add to the random part of
+        the cost: among equally slow targets, that would outweigh the distance.
+
+        Args:
+          slowness: Factor on the work time at the target.
+          before_ms: Wait for a slot there.
+        """
+        late = lateness_cost(self.work, slowness=slowness, before_ms=before_ms)
+        return max(0.0, late - self.least_late)
+
     def slowness(
         self, instance: str, *, slow_now: float, age_ms: float
     ) -> float:
--- a/src/currantcart/routing/estimates.py
+++ b/src/currantcart/routing/estimates.py
@@ -143,11 +143,25 @@
         return made
 
     def record(
-        self, kind: str, *, actual_ms: float, expected_ms: float
+        self,
+        kind: str,
+        *,
+        actual_ms: float,
+        expected_ms: float,
+        answered: bool = True,
     ) -> None:
-        """Records the completion of a request that found a free slot."""
-        if kind in self.speeds.work_ms and expected_ms > 0:
-            tail = self.tails.get(kind)
-            if tail is None:
-                tail = self.tails[kind] = completion.Tail()
-            tail.record(actual_ms, expected_ms)
+        """Records the completion of a request that found a free slot.
+
+        Args:
+          kind: Kind of the request.
+          actual_ms: Time that it took.
+          expected_ms: Time that was expected; nothing is recorded if it is 0.
+          answered: Whether it was answered; otherwise it was ended before.
+        """
+        if kind not in self.speeds.work_ms or expected_ms <= 0:
+            return
+        tail = self.tails.get(kind)
+        if tail is None:
+            tail = self.tails[kind] = completion.Tail()
+        record = tail.record if answered else tail.record_timeout
+        record(actual_ms, expected_ms)
--- a/src/currantcart/routing/picker.py
+++ b/src/currantcart/routing/picker.py
@@ -21,7 +21,7 @@
 """
 OTHER_DOMAIN_COST_MAX = 1.7
 """The same for a request that can wait long: its bytes stay in the domain."""
-KNOWN_WORK_FAR_COST = 1.1
+KNOWN_WORK_FAR_COST = 0.9
 """Cost of another domain for a request whose work is known.
 
 What the wait there costs it is part of the expected lateness.
@@ -37,7 +37,7 @@
 SAME_DOMAIN_COST = 0.05
 COLD_COST = 0.3
 COST_JITTER = 0.02
-LATENESS_JITTER = 0.3
+LATENESS_JITTER = 0.5
 """Random part of the cost of lateness.
 
 Nodes that know the same reports would otherwise all choose the same target.
@@ -247,9 +247,8 @@
             late = prospect.late
             if load > completion.WAIT_LOAD or target.slow_now > usual_now:
                 slowness = target.slowness(forecast, now)
-                late = completion.lateness_cost(
-                    work,
-                    slowness=slowness * prospect.handicap,
+                late = forecast.avoidable_lateness(
+                    slowness * prospect.handicap,
                     before_ms=forecast.before_ms(load, slowness),
                 )
             chance = random_share()
--- a/tests/routing/test_completion.py
+++ b/tests/routing/test_completion.py
@@ -169,6 +169,20 @@
     assert max(ratios) < 1.5 * tail
 
 
+def test_requests_that_time_out_belong_to_the_tail() -> None:
+    """Guards against a tail that ends where requests are ended."""
+    rng = random.Random(2)
+    cut, whole = completion.Tail(), completion.Tail()
+    for _ in range(5_000):
+        actual_ms = 100 * rng.lognormvariate(0, 0.6)
+        whole.record(actual_ms, 100.0)
+        if actual_ms > 250.0:
+            cut.record_timeout(250.0, 100.0)
+        else:
+            cut.record(actual_ms, 100.0)
+    assert cut.ratio > 0.85 * whole.ratio
+
+
 def test_the_tail_is_bounded() -> None:
     """Guards against times of a fault that later look like usual ones."""
     known = completion.Tail()
