--- a/src/currantcart/routing/completion.py
+++ b/src/currantcart/routing/completion.py
@@ -31,6 +31,8 @@
 RESERVED_COST = 1.0
 """Charge at full load. With 4, less urgent requests queued at slow targets."""
 SLOW_NOW_HALF_LIFE_MS = 500.0
+LOAD_STEPS = 40
+"""Steps of load, for each unit, at which lateness is worked out."""
 LOAD_TOLERANCE = 1.3
 """Ratio of slowness below which loads are compared without it."""
 ROOT_TWO = math.sqrt(2.0)
@@ -186,12 +188,15 @@
       load_factor: Factor on the load there.
       late: Cost of the lateness beyond that at the fastest target.
       handicap: Factor on the work time for the distance.
+      late_at: The same cost at higher loads, by load in steps; worked out as
+        needed.
     """
 
     slowness: float
     load_factor: float
     late: float
     handicap: float
+    late_at: dict[int, float] = dataclasses.field(default_factory=dict)
 
 
 class Forecast:
@@ -230,6 +235,24 @@
         self.prospects[instance] = made
         return made
 
+    def lateness_at(self, prospect: Prospect, load: float) -> float:
+        """Returns the cost of the lateness at a target at its usual speed.
+
+        Args:
+          prospect: The prospect at the target.
+          load: Running and waiting requests for each slot.
+        """
+        if load <= WAIT_LOAD:
+            return prospect.late
+        step = int(load * LOAD_STEPS)
+        late = prospect.late_at.get(step)
+        if late is None:
+            late = prospect.late_at[step] = self.avoidable_lateness(
+                prospect.slowness * prospect.handicap,
+                before_ms=self.before_ms(step / LOAD_STEPS, prospect.slowness),
+            )
+        return late
+
     def avoidable_lateness(self, slowness: float, *, before_ms: float) -> float:
         """Returns the cost of the lateness beyond that at the fastest target.
 
--- a/src/currantcart/routing/picker.py
+++ b/src/currantcart/routing/picker.py
@@ -244,13 +244,14 @@
                 handicap = 1.0 if near else FAR_HANDICAP
                 prospect = forecast.prospect(instance, handicap=handicap)
             load = target.load()
-            late = prospect.late
-            if load > completion.WAIT_LOAD or target.slow_now > usual_now:
+            if target.slow_now > usual_now:
                 slowness = target.slowness(forecast, now)
                 late = forecast.avoidable_lateness(
                     slowness * prospect.handicap,
                     before_ms=forecast.before_ms(load, slowness),
                 )
+            else:
+                late = forecast.lateness_at(prospect, load)
             chance = random_share()
             cost = load * prospect.load_factor + COST_JITTER * chance
             cost += late * (1.0 - LATENESS_JITTER * chance)
