--- a/src/currantcart/proxy/requests/completion.py
+++ b/src/currantcart/proxy/requests/completion.py
@@ -25,6 +25,11 @@
         counts.add("handed_back_ended", moves.outcome(outcome, late=late))
 
 
+def expected(call: call_module.Call) -> dict[str, int]:
+    """Returns the expected time at the last target, for a log line."""
+    return {"expected_ms": round(call.expected_ms)} if call.expected_ms else {}
+
+
 def log_answer(
     context: proxy_context.Context, call: call_module.Call, status: int
 ) -> None:
@@ -45,6 +50,7 @@
         moves=call.moves,
         after_ms=round(after_ms),
         objective_ms=round(objective_ms),
+        **expected(call),
         version=context.freshness.version,
     )
 
@@ -93,6 +99,7 @@
         had_it=",".join(sorted(call.tried_instances)),
         moves=call.moves,
         after_ms=round(context.now - call.request.head_received_at),
+        **expected(call),
         version=context.freshness.version,
         candidates=candidates(context, call, known),
     )
--- a/src/currantcart/proxy/requests/moves.py
+++ b/src/currantcart/proxy/requests/moves.py
@@ -40,6 +40,7 @@
     *,
     now: float,
     rng: random.Random,
+    far_max: int = reachability.CANDIDATES_FAR,
 ) -> list[picker.Target]:
     """Returns the candidates for the next attempt of a request.
 
@@ -52,6 +53,8 @@
       call: The request.
       now: Milliseconds of the node's clock.
       rng: Source of random numbers.
+      far_max: Most candidates of other failure domains for a request that was
+        not handed back.
     """
     if call.moves:
         free = [
@@ -65,7 +68,7 @@
         if free:
             count = min(len(free), reachability.CANDIDATES_ALL)
             return rng.sample(free, count)
-    return reachable.candidates(call.service)
+    return reachable.candidates(call.service, far_max=far_max)
 
 
 def outcome(ended: str, *, late: bool) -> str:
