--- a/src/currantcart/admission/pressure.py
+++ b/src/currantcart/admission/pressure.py
@@ -15,6 +15,8 @@
 import random
 from collections.abc import Iterable
 
+from currantcart.admission import fair_share
+
 STEP_MS = 100.0
 """Time between two updates of the gauge."""
 RISE_PER_REFUSED = 0.3
@@ -211,20 +213,41 @@
 
     def shed_share(self, rank: int, level: float) -> float:
         """Returns the share of a rank to shed for a share of the total."""
-        total = sum(self.counts.values())
-        same = self.counts.get(rank, 0.0)
-        if total <= 0.0 or same <= 0.0:
-            return 0.0
-        less_urgent = sum(n for key, n in self.counts.items() if key > rank)
-        share = (level * total - less_urgent * SHED_SHARE_MAX) / same
-        return min(SHED_SHARE_MAX, max(0.0, share))
+        return shed_share(self.counts, rank, level)
+
+
+def shed_share(counts: dict[int, float], rank: int, level: float) -> float:
+    """Returns the share of a rank to shed for a share of the total demand.
+
+    Args:
+      counts: Demand by rank, in any unit.
+      rank: The rank; the least urgent ones are shed first.
+      level: Share of the total demand that has to be shed, 0 to 1.
+    """
+    total = sum(counts.values())
+    same = counts.get(rank, 0.0)
+    if total <= 0.0 or same <= 0.0:
+        return 0.0
+    less_urgent = sum(n for key, n in counts.items() if key > rank)
+    share = (level * total - less_urgent * SHED_SHARE_MAX) / same
+    return min(SHED_SHARE_MAX, max(0.0, share))
 
 
 class Shedder:
-    """Decides at the ingress node which root requests to shed."""
+    """Decides at the ingress node which root requests to shed.
 
-    def __init__(self, rng: random.Random) -> None:
+    Attributes:
+      divider: Shares of the workspaces; None if they are not considered.
+    """
+
+    def __init__(
+        self,
+        rng: random.Random,
+        *,
+        divider: fair_share.Divider | None = None,
+    ) -> None:
         self.rng = rng
+        self.divider = divider
         self.histograms: dict[str, RankHistogram] = {}
         self.evidence: dict[tuple[str, str], Evidence] = {}
 
@@ -236,6 +259,7 @@
         rank: int,
         levels: Pressure,
         now: float,
+        workspace: str = "",
     ) -> str:
         """Returns the overloaded service for which to shed a request.
 
@@ -245,6 +269,8 @@
           rank: Rank of the request; 0 is the most urgent.
           levels: Levels of that service and of those that it calls.
           now: Milliseconds of the node's clock.
+          workspace: Workspace of the request; empty if all requests of a rank
+            are treated alike.
 
         Returns:
           Name of the service; empty if the request is not shed.
@@ -257,7 +283,15 @@
                     continue
             histogram = self.histograms.setdefault(overloaded, RankHistogram())
             histogram.record(rank, now)
-            if self.rng.random() < histogram.shed_share(rank, level):
+            share = histogram.shed_share(rank, level)
+            if self.divider is not None and workspace:
+                self.divider.record(overloaded, rank, workspace, now)
+                if share:
+                    shares = self.divider.shares(
+                        overloaded, rank, shed=share, now=now
+                    )
+                    share = shares.shed_share(workspace)
+            if self.rng.random() < share:
                 shed_for = overloaded
         return shed_for
 
--- a/src/currantcart/admission/slots.py
+++ b/src/currantcart/admission/slots.py
@@ -15,7 +15,8 @@
 import math
 from typing import Generic, TypeVar
 
-from currantcart.admission import occupancy, target_rate
+from currantcart.admission import fair_share, occupancy, target_rate
+from currantcart.workspace import usage
 
 Item = TypeVar("Item")
 
@@ -51,6 +52,8 @@
 """Share of the objective that a root may wait if it can no longer meet it."""
 RETRY_AFTER_MIN_MS = 100.0
 RETRY_AFTER_MAX_MS = 2_000.0
+PRIORITIES_MAX = 64
+"""Priorities for which the usage by workspace is kept."""
 
 
 def call_priority(rank: int | None) -> int:
@@ -90,6 +93,10 @@
       wait_until: When it is refused if it is still waiting.
       started_at: When it got its slot; negative while it waits.
       discarded: Whether it was refused, or left the queue without a slot.
+      workspace: Workspace that it belongs to; empty if none is known.
+      weight: Weight of the workspace in fair shares.
+      tag: Its place among the requests of its priority; the lowest goes first.
+      number: Its place among those with the same tag.
     """
 
     item: Item
@@ -97,6 +104,18 @@
     wait_until: float
     started_at: float = -1.0
     discarded: bool = False
+    workspace: str = ""
+    weight: float = usage.WEIGHT_DEFAULT
+    tag: float = 0.0
+    number: int = 0
+
+    def entry(self) -> Entry[Item]:
+        """Returns its entry in the heap of waiting requests."""
+        return (self.priority, (self.tag, self.number), self)
+
+
+Entry = tuple[int, tuple[float, int], Ticket[Item]]
+"""Priority of a waiting request, its place within it, and the request."""
 
 
 class SlotQueue(Generic[Item]):
@@ -108,15 +127,27 @@
       waiting: Requests that are waiting.
       rate: Requests per second that the target accepts.
       occupancy: Slot usage by kind of request.
+      fair: Whether requests of the same priority are ordered by what their
+        workspaces were given before. Calls of targets are always served in
+        order of arrival: a call that is refused wastes the work done for its
+        root.
+      tags: Order by workspace, by priority.
     """
 
-    def __init__(self, rate: target_rate.TargetRate | None = None) -> None:
+    def __init__(
+        self,
+        rate: target_rate.TargetRate | None = None,
+        *,
+        fair: bool = False,
+    ) -> None:
         self.slots = 0
         self.running = 0
         self.waiting = 0
         self.rate = rate or target_rate.TargetRate()
         self.occupancy = occupancy.Occupancy()
-        self.heap: list[tuple[int, int, Ticket[Item]]] = []
+        self.fair = fair
+        self.tags: dict[int, fair_share.Tags] = {}
+        self.heap: list[Entry[Item]] = []
         self.ranks: dict[int, int] = {}
         self.numbers = itertools.count()
 
@@ -132,25 +163,43 @@
             "slots": self.slots,
         }
 
-    def expected_wait_ms(self, priority: int, now: float) -> float:
-        """Returns the expected wait of a new request of a priority, in ms."""
-        ahead = sum(self.ahead_of(priority).values())
+    def expected_wait_ms(
+        self, priority: int, now: float, *, tag: float = math.inf
+    ) -> float:
+        """Returns the expected wait of a new request, in ms.
+
+        Args:
+          priority: Priority of the request.
+          now: Milliseconds of the node's clock.
+          tag: Its place among the requests of its priority; the last one if
+            not given.
+        """
+        ahead = sum(self.ahead_of(priority, tag=tag).values())
         rate_wait_ms = self.rate.expected_wait_ms(now, ahead=ahead)
-        return max(rate_wait_ms, self.slot_wait_ms(priority))
+        return max(rate_wait_ms, self.slot_wait_ms(priority, tag=tag))
 
-    def slot_wait_ms(self, priority: int) -> float:
+    def slot_wait_ms(self, priority: int, *, tag: float = math.inf) -> float:
         """Returns the expected wait of a new request for a slot, in ms."""
         if self.running < self.slots:
             return 0.0
-        ahead = self.ahead_of(priority)
+        ahead = self.ahead_of(priority, tag=tag)
         return self.occupancy.wait_ms(kind_of(priority), ahead, self.slots)
 
-    def ahead_of(self, priority: int) -> dict[occupancy.Kind, int]:
-        """Returns how many requests wait before one of a priority, by kind."""
+    def ahead_of(
+        self, priority: int, *, tag: float = math.inf
+    ) -> dict[occupancy.Kind, int]:
+        """Returns how many requests wait before a new one, by kind."""
         ahead = dict.fromkeys(occupancy.Kind, 0)
         for rank, count in self.ranks.items():
             if rank <= priority:
                 ahead[kind_of(rank)] += count
+        if self.fair and tag < math.inf and self.ranks.get(priority):
+            ahead[kind_of(priority)] -= sum(
+                entry[0] == priority
+                and entry[1][0] > tag
+                and not entry[2].discarded
+                for entry in self.heap
+            )
         return ahead
 
     def wait_limit_ms(
@@ -192,6 +241,8 @@
         expires_at: float,
         age_ms: float = 0.0,
         wait_ms_max: float = math.inf,
+        workspace: str = "",
+        weight: float = 0.0,
     ) -> tuple[Verdict, Ticket[Item]]:
         """Decides whether a request runs, waits or is refused.
 
@@ -203,6 +254,8 @@
           expires_at: When its caller stops waiting.
           age_ms: How long its caller has waited so far.
           wait_ms_max: Longest wait in any case.
+          workspace: Workspace that it belongs to; empty if none is known.
+          weight: Weight of the workspace in fair shares; 0 if not given.
 
         Returns:
           The decision, and the ticket of the request.
@@ -214,18 +267,73 @@
             left_ms=expires_at - now,
         )
         wait_limit = min(wait_limit, wait_ms_max)
-        ticket = Ticket(item, priority, now + wait_limit)
+        ticket = Ticket(
+            item,
+            priority,
+            now + wait_limit,
+            workspace=workspace,
+            weight=usage.valid_weight(weight),
+            number=next(self.numbers),
+        )
+        tags = self.tags_of(priority)
+        if tags is not None:
+            ticket.tag = tags.next_tag(workspace)
         if self.waiting == 0 and self.may_start(now):
             self.assign_slot(ticket, now)
             return Verdict.RUN, ticket
-        if self.expected_wait_ms(priority, now) > wait_limit:
+        if self.expected_wait_ms(priority, now, tag=ticket.tag) > wait_limit:
             ticket.discarded = True
             return Verdict.REFUSE, ticket
-        heapq.heappush(self.heap, (priority, next(self.numbers), ticket))
+        if tags is not None:
+            tags.add_waiting(workspace, ticket.weight, ticket.tag)
+        heapq.heappush(self.heap, ticket.entry())
         self.waiting += 1
         self.ranks[priority] = self.ranks.get(priority, 0) + 1
         return Verdict.WAIT, ticket
 
+    def tags_of(self, priority: int) -> fair_share.Tags | None:
+        """Returns the order by workspace of a priority, if there is one."""
+        if not self.fair or priority <= CALLS_PRIORITY:
+            return None
+        tags = self.tags.get(priority)
+        if tags is None:
+            if len(self.tags) >= PRIORITIES_MAX:
+                self.tags = {
+                    known: tags
+                    for known, tags in self.tags.items()
+                    if self.ranks.get(known)
+                }
+            tags = self.tags[priority] = fair_share.Tags()
+        return tags
+
+    def use_fair(self, *, fair: bool) -> None:
+        """Turns the order by workspace on or off; arrival decides if off."""
+        if fair == self.fair:
+            return
+        self.fair = fair
+        self.tags.clear()
+        self.rebuild()
+
+    def rebuild(self) -> None:
+        """Removes discarded requests from the heap, and orders it again.
+
+        A workspace is not charged for requests that were not served: those of
+        it that still wait move up.
+        """
+        waiting = [entry[2] for entry in self.heap if not entry[2].discarded]
+        for tags in self.tags.values():
+            tags.reset_waiting()
+        for ticket in sorted(waiting, key=lambda ticket: ticket.number):
+            tags_of_rank = self.tags_of(ticket.priority)
+            ticket.tag = 0.0
+            if tags_of_rank is not None:
+                ticket.tag = tags_of_rank.next_tag(ticket.workspace)
+                tags_of_rank.add_waiting(
+                    ticket.workspace, ticket.weight, ticket.tag
+                )
+        self.heap = [ticket.entry() for ticket in waiting]
+        heapq.heapify(self.heap)
+
     def may_start(self, now: float) -> bool:
         """Returns whether a slot is free and the rate allows a request."""
         return self.running < self.slots and not self.rate.wait_ms(now)
@@ -246,6 +354,9 @@
         self.running += 1
         self.rate.take(now)
         ticket.started_at = now
+        tags = self.tags_of(ticket.priority)
+        if tags is not None:
+            tags.serve(ticket.workspace, ticket.weight, ticket.tag)
         self.occupancy.start(kind_of(ticket.priority), now, self.slots)
 
     def release(self, ticket: Ticket[Item], now: float) -> None:
@@ -291,8 +402,7 @@
         for ticket in late:
             self.withdraw(ticket)
         if late:
-            self.heap = [entry for entry in self.heap if not entry[2].discarded]
-            heapq.heapify(self.heap)
+            self.rebuild()
         return late
 
     def retry_after_ms(self, now: float) -> float:
--- a/src/currantcart/call/lineage.py
+++ b/src/currantcart/call/lineage.py
@@ -21,10 +21,14 @@
     Attributes:
       rank: Rank of the root request; 0 is the most urgent, None is unknown.
       is_retry: Whether the request, or one above it, is a retry.
+      workspace: Workspace of the root request; empty if it is not known.
+      weight: Weight of that workspace in fair shares; 0 if it is not known.
     """
 
     rank: int | None = None
     is_retry: bool = False
+    workspace: str = ""
+    weight: float = 0.0
 
 
 UNKNOWN = Lineage()
--- a/src/currantcart/catalog/model.py
+++ b/src/currantcart/catalog/model.py
@@ -132,6 +132,7 @@
       keyed: Whether requests need the key of a workspace.
       limits: Limits on callers' requests.
       unsupported_fields: Names of unsupported fields in the document.
+      default_weight: Weight in fair shares of a workspace without a rate.
     """
 
     def __init__(
@@ -157,6 +158,18 @@
         self.by_name = {workspace.name: workspace for workspace in workspaces}
         self.keyed = keyed
         self.limits = limits
+        rates = [rate for rate, _ in self.rates().values()]
+        self.default_weight = sum(rates) / len(rates) if rates else 1.0
+
+    def weight_of(self, name: str) -> float:
+        """Returns a workspace's weight in fair shares: its rate.
+
+        A workspace without a rate has the mean rate of those that have one.
+        """
+        workspace = self.by_name.get(name)
+        if workspace is None or workspace.rate_per_second <= 0:
+            return self.default_weight
+        return workspace.rate_per_second
 
     def match(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest prefix of a path.
--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -152,6 +152,10 @@
         self.guard.overload.called_pressure = (
             self.outbound.ingress.called_pressure
         )
+        self.guard.usage.level = self.own_service_level
+        self.guard.usage.reported = lambda: self.outbound.usage_on(
+            settings.service
+        )
         self.feed.peers = self.peers
         self.feed.exchange.peers = self.peers
         self.registration = registration.Registration(
@@ -188,6 +192,11 @@
         self.ticks = 0
         self.add_gauges()
 
+    def own_service_level(self) -> float:
+        """Returns the overload level of the local target's service."""
+        service = self.context.settings.service
+        return self.outbound.pressure_on(service).get(service, 0.0)
+
     # Events from peers.
 
     def handle_call_frame(self, item: link.Link, frame: frames.Frame) -> None:
@@ -275,7 +284,10 @@
             "retry_budget_nodes_age_seconds": self.outbound.retries.nodes_age,
             "log_bytes_dropped": lambda: self.context.log.dropped_bytes,
         }
-        self.context.counts.service_gauges = self.outbound.retries.gauges()
+        self.context.counts.service_gauges = {
+            **self.outbound.retries.gauges(),
+            **self.outbound.ingress.gauges(),
+        }
 
     # Start and periodic work.
 
@@ -379,6 +391,7 @@
         self.callers.intake.revoke_ms = settings.bounds.revoke_seconds * 1e3
         self.outbound.retries.use_bounds(settings.bounds)
         self.guard.warm_up.configure()
+        self.guard.queue.use_fair(fair=settings.fair_shares.enabled)
         self.context.log.event(
             "settings_read",
             changed=settings != before,
--- a/src/currantcart/proxy/requests/attempts.py
+++ b/src/currantcart/proxy/requests/attempts.py
@@ -68,6 +68,8 @@
             age_ms=now - request.head_received_at,
             placed_before=len(call.outcomes) - 1,
             from_retry=call.lineage.is_retry or call.handed_to_targets > 0,
+            workspace=call.lineage.workspace,
+            weight=call.lineage.weight,
         )
 
     def hand_to_local(self, call: call_module.Call, now: float) -> None:
--- a/src/currantcart/proxy/requests/outbound.py
+++ b/src/currantcart/proxy/requests/outbound.py
@@ -20,7 +20,7 @@
 from currantcart.proxy.streams import peers as peers_module
 from currantcart.proxy.targets import guard
 from currantcart.routing import picker
-from currantcart.workspace import quota
+from currantcart.workspace import quota, usage
 
 GUARDS_MAX = 3
 """Number of guards that may refuse a request before it fails."""
@@ -70,7 +70,7 @@
         )
         self.calls: set[call_module.Call] = set()
         self.ingress = ingress.IngressShedder(
-            context, pressure_on=self.pressure_on
+            context, pressure_on=self.pressure_on, usage_on=self.usage_on
         )
         self.attempts = attempts.Attempts(
             context, local_guard=local_guard, handler=self
@@ -133,11 +133,31 @@
         """Sets what a request inherits from the root of its call chain."""
         request = call.request
         if not request.internal:
-            call.lineage = lineage.Lineage(rank=request.priority)
+            call.lineage = self.root_lineage(request)
             return
         call.lineage = self.guard.lineage_of(request.request_id)
         request.priority = slots.call_priority(call.lineage.rank)
 
+    def root_lineage(self, request: intake.Request) -> lineage.Lineage:
+        """Returns the lineage of a root request."""
+        catalog = self.context.catalog
+        if not (
+            self.context.settings.fair_shares.enabled
+            and request.workspace
+            and catalog is not None
+        ):
+            return lineage.Lineage(rank=request.priority)
+        return lineage.Lineage(
+            rank=request.priority,
+            workspace=request.workspace,
+            weight=catalog.weight_of(request.workspace),
+        )
+
+    def usage_on(self, service: str) -> dict[int, usage.Demand]:
+        """Returns the demand on a service, as its targets' nodes report it."""
+        assert self.peers is not None
+        return self.peers.reachability.usage_on(service)
+
     def pressure_on(self, service: str) -> pressure.Pressure:
         """Returns the pressure on a service and on those that it calls."""
         assert self.peers is not None
--- a/src/currantcart/proxy/streams/frames.py
+++ b/src/currantcart/proxy/streams/frames.py
@@ -46,7 +46,10 @@
       work_by_kind: The same by kind of request; only kinds that were measured.
       slow_now: How much longer than usual the running requests take; 1 if they
         take as long as usual.
-      usage: Requests per second by workspace, only of those that use it most.
+      usage: Requests per second by rank and workspace (RANK:WORKSPACE), only
+        of those that use it most for their weight; without a workspace, of all
+        others of the rank. Includes what is shed where requests enter. Empty
+        without overload.
     """
 
     target_id: str = ""
--- a/src/currantcart/proxy/streams/peers.py
+++ b/src/currantcart/proxy/streams/peers.py
@@ -349,6 +349,7 @@
         known.cold_until = self.context.now + state.cold_ms
         known.pressure = state.pressure
         known.work_ms = state.work_ms
+        known.usage = state.usage
         known.update_load(
             busy=state.busy, limit=state.limit, now=self.context.now
         )
--- a/src/currantcart/proxy/streams/reachability.py
+++ b/src/currantcart/proxy/streams/reachability.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
 from currantcart.admission import pressure
 from currantcart.proxy import context as proxy_context
 from currantcart.proxy.streams import link
 from currantcart.routing import picker
+from currantcart.workspace import usage
 
 PRESSURE_CACHE_MS = 40.0
 REACHABLE_CACHE_MS = 25.0
+USAGE_CACHE_MS = 100.0
 CANDIDATES_ALL = 8
 CANDIDATES_NEAR = 5
 CANDIDATES_FAR = 3
@@ -36,6 +39,7 @@
       link_to: Returns the stream for calls to a peer; None if none is usable.
       pressure_cache: Time and result of `pressure_on`, by service.
       reachable_cache: Time and result of `reachable`, by service.
+      usage_cache: Time and result of `usage_on`, by service.
     """
 
     def __init__(
@@ -52,6 +56,7 @@
         self.link_to = link_to
         self.pressure_cache: dict[str, tuple[float, pressure.Pressure]] = {}
         self.reachable_cache: dict[str, tuple[float, list[picker.Target]]] = {}
+        self.usage_cache: dict[str, tuple[float, dict[int, usage.Demand]]] = {}
 
     def invalidate(self) -> None:
         """Invalidates cached results after a change of a target or stream."""
@@ -149,3 +154,21 @@
             (target.limit, target.pressure)
             for target in self.reachable(service)
         )
+
+    def usage_on(self, service: str) -> dict[int, usage.Demand]:
+        """Returns the demand on a service by rank, as its targets report it.
+
+        Empty if none reports it: those of nodes of the previous release, and
+        those without overload.
+        """
+        now = self.context.now
+        cached_at, demand = self.usage_cache.get(service, (-math.inf, {}))
+        if now - cached_at < USAGE_CACHE_MS:
+            return demand
+        demand = usage.merge(
+            usage.parse(target.usage)
+            for target in self.reachable(service)
+            if target.usage
+        )
+        self.usage_cache[service] = (now, demand)
+        return demand
--- a/src/currantcart/proxy/targets/guard.py
+++ b/src/currantcart/proxy/targets/guard.py
@@ -15,6 +15,7 @@
     overload,
     statements,
     target_exchange,
+    target_usage,
     warm_up,
 )
 from currantcart.proxy.targets import job as job_module
@@ -46,6 +47,7 @@
       by_request: The same requests, by request id.
       exchange: Connections to the target.
       overload: Overload level of the target.
+      usage: Demand on the target by workspace.
       on_leaving: Called with the target's id and incarnation when it states
         that it is leaving; set by the node.
       publish: Sends the node's status to its peers; set by the node.
@@ -62,7 +64,8 @@
         self.queue: slots.SlotQueue[job_module.Job] = slots.SlotQueue(
             target_rate.TargetRate()
             if context.settings.first_start
-            else target_rate.unknown()
+            else target_rate.unknown(),
+            fair=context.settings.fair_shares.enabled,
         )
         self.running: dict[int, job_module.Job] = {}
         self.by_request: dict[str, job_module.Job] = {}
@@ -76,6 +79,7 @@
         self.warm_up = warm_up.WarmUp(context, connections=self.exchange.pool)
         self.statements = statements.Statements(context)
         self.overload = overload.Overload(context, queue=self.queue)
+        self.usage = target_usage.TargetUsage(context)
         self.on_leaving: Callable[[str, int], object] = lambda _id, _born: None
         self.publish: Callable[[], None] = lambda: None
         self.sweeping: asyncio.TimerHandle | None = None
@@ -156,6 +160,7 @@
             leaving=bool(self.target_id) and not self.ready,
             born=self.born,
             work_ms=math.ceil(self.exchange.work_time.reported_ms),
+            usage=self.usage.update(own_level=self.overload.gauge.level),
         )
 
     @property
@@ -243,6 +248,7 @@
             self.refuse(job, reason)
             return job
         self.overload.record_objective(opening.objective_ms)
+        self.usage.record(opening)
         verdict, job.ticket = self.queue.offer(
             job,
             priority=opening.priority,
@@ -251,6 +257,8 @@
             expires_at=expires_at,
             age_ms=opening.age_ms,
             wait_ms_max=self.wait_ms_max(opening),
+            workspace=opening.workspace,
+            weight=opening.weight,
         )
         if verdict is not slots.Verdict.REFUSE:
             self.overload.gauge.count_offer(refused=False)
--- a/src/currantcart/proxy/targets/job.py
+++ b/src/currantcart/proxy/targets/job.py
@@ -65,6 +65,8 @@
         return lineage.Lineage(
             rank=slots.root_rank(self.opening.priority),
             is_retry=self.opening.from_retry,
+            workspace=self.opening.workspace,
+            weight=self.opening.weight,
         )
 
 
--- a/src/currantcart/routing/picker.py
+++ b/src/currantcart/routing/picker.py
@@ -56,6 +56,7 @@
       failure_at: Time as of which `failure` holds.
       pressure: Load of the target and of the services that it calls.
       work_ms: Service time of a request; 0 while unknown.
+      usage: Demand by rank and workspace, as reported.
     """
 
     instance: str
@@ -74,6 +75,7 @@
     failure_at: float = 0.0
     pressure: dict[str, float] = dataclasses.field(default_factory=dict)
     work_ms: float = 0.0
+    usage: dict[str, float] = dataclasses.field(default_factory=dict)
 
     def load(self) -> float:
         """Returns the share of its slots in use; 1 when all are taken."""
--- a/src/currantcart/telemetry/definitions.py
+++ b/src/currantcart/telemetry/definitions.py
@@ -33,6 +33,10 @@
     "target_requests": ("Requests sent to the target", []),
     "callers_closed": ("Idle connections closed for others", ["cause"]),
     "store_calls": ("Calls to the store, by result", ["call", "result"]),
+    "fair_shed": (
+        "Requests shed because their workspace was above its share",
+        ["service"],
+    ),
     "links_lost": ("Streams to peers that were lost", ["reason"]),
 }
 HISTOGRAMS: dict[str, tuple[str, list[str]]] = {
@@ -42,6 +46,10 @@
     ),
     "queue_seconds": ("Wait for a slot beside the target", []),
     "target_seconds": ("From handing over to the target's answer", []),
+    "fair_shed_excess": (
+        "Usage of a workspace over its share, of requests shed for it",
+        [],
+    ),
 }
 GAUGES = {
     "config_version": "Configuration version in force",
@@ -67,4 +75,5 @@
     "retry_budget_repeats": "Repeats of the window",
     "retry_budget_left": "Repeats that this node may still send",
     "retry_budget_share": "This node's part of the fixed number of repeats",
+    "fair_share_excess": "Largest usage of a workspace over its share",
 }
