--- a/src/currantcart/admission/fair_share.py
+++ b/src/currantcart/admission/fair_share.py
@@ -26,7 +26,12 @@
 SERVICES_MAX = 64
 TAGS_MAX = 512
 OVERTAKING_SMOOTHING = 0.03
-OVERTAKING_MAX = 0.95
+OVERTAKING_MAX = 0.8
+"""Largest share that is assumed to overtake.
+
+With 0.95, requests are refused that would still have been served in time, and
+workspaces just below their share lose up to 3 in 100 of theirs.
+"""
 ADVANCE_HALF_LIFE_MS = 500.0
 
 
--- a/src/currantcart/admission/pressure.py
+++ b/src/currantcart/admission/pressure.py
@@ -20,13 +20,13 @@
 STEP_MS = 100.0
 """Time between two updates of the gauge."""
 RISE_PER_REFUSED = 0.3
-FAIR_REFUSED_WEIGHT = 0.33
+FAIR_REFUSED_WEIGHT = 0.25
 """Weight of a refused request at a queue that serves by usage.
 
 Such a queue is short, and refuses requests of workspaces above their share. If
 the level rises as fast as for others, it exceeds what is needed before the
 nodes have received it, and slots are idle: with a weight of 1, up to 3 in 100
-requests fewer are served (`tests/proxy/targets/test_fair_share_load.py`).
+requests fewer are served (`python -m bench.fair_shares`).
 """
 RISE_PER_WAIT = 0.02
 RISE_MAX = 0.12
