--- a/src/currantcart/admission/fair_share.py
+++ b/src/currantcart/admission/fair_share.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import bisect
 import dataclasses
 import heapq
 import math
@@ -213,6 +214,7 @@
       overtaking: Smoothed share of the served requests that overtook others.
       advanced: Recent increase of `served`, decayed up to `advanced_at`.
       advanced_at: When `served` increased last.
+      waiting: Tags of the requests that wait, in order.
       finish: End of the last request, waiting or not, by workspace.
       finish_served: The same of the last request that was served.
     """
@@ -223,6 +225,7 @@
         self.overtaking = 0.0
         self.advanced = 0.0
         self.advanced_at = 0.0
+        self.waiting: list[float] = []
         self.finish: dict[str, float] = {}
         self.finish_served: dict[str, float] = {}
 
@@ -239,9 +242,18 @@
     def add_waiting(self, workspace: str, weight: float, tag: float) -> None:
         """Records that a request waits."""
         self.highest = max(self.highest, tag)
+        bisect.insort(self.waiting, tag)
         if workspace:
             self.finish[workspace] = tag + 1.0 / weight
 
+    def remove_waiting(self, tag: float) -> None:
+        """Records that a request waits no longer."""
+        del self.waiting[bisect.bisect_left(self.waiting, tag)]
+
+    def behind(self, tag: float) -> int:
+        """Returns how many waiting requests go after one with a tag."""
+        return len(self.waiting) - bisect.bisect_right(self.waiting, tag)
+
     def serve(
         self,
         workspace: str,
@@ -302,6 +314,7 @@
     def reset_waiting(self) -> None:
         """Removes what waiting requests have added; they are tagged again."""
         self.highest = self.served
+        self.waiting.clear()
         self.finish = dict(self.finish_served)
 
     def evict(self) -> None:
--- a/src/currantcart/admission/slots.py
+++ b/src/currantcart/admission/slots.py
@@ -195,17 +195,6 @@
                 ahead[kind_of(rank)] += count
         return ahead
 
-    def behind(self, priority: int, tag: float) -> int:
-        """Returns how many requests of a priority wait with a higher tag."""
-        if not self.ranks.get(priority):
-            return 0
-        return sum(
-            entry[0] == priority
-            and entry[1][0] > tag
-            and not entry[2].discarded
-            for entry in self.heap
-        )
-
     def wait_limit_ms(
         self,
         priority: int,
@@ -310,7 +299,7 @@
         """
         if tags is None:
             return self.expected_wait_ms(ticket.priority, now)
-        behind = self.behind(ticket.priority, ticket.tag)
+        behind = tags.behind(ticket.tag)
         ticket.overtakes = behind > 0
         wait_ms = self.expected_wait_ms(ticket.priority, now, behind=behind)
         return tags.expected_wait_ms(ticket.tag, wait_ms, now)
@@ -376,6 +365,9 @@
         """Updates the counts for a request that leaves the queue."""
         self.waiting -= 1
         self.ranks[ticket.priority] -= 1
+        tags = self.tags_of(ticket.priority)
+        if tags is not None:
+            tags.remove_waiting(ticket.tag)
 
     def assign_slot(self, ticket: Ticket[Item], now: float) -> None:
         """Assigns a slot to a request."""
