--- a/src/currantcart/workspace/usage.py
+++ b/src/currantcart/workspace/usage.py
@@ -14,19 +14,8 @@
 from collections.abc import Callable, Iterable
 
 HALF_LIFE_MS = 2_000.0
-FAST_HALF_LIFE_MS = 500.0
-"""Half-life of the counts by which a sudden increase is noticed.
-
-With the other half-life alone, a workspace that has begun to send six times its
-usual is known at a third of that after 1 s, and the others are shed meanwhile.
-"""
-INCREASE_SIGMAS = 1.0
-"""Standard deviations that are subtracted from the fast rate.
-
-The rate is the higher of the slow one and this one.
-"""
 RESCALE_HALF_LIVES = 40.0
-"""Age of the reference time, in fast half-lives, at which counts are rescaled.
+"""Age of the reference time, in half-lives, at which counts are rescaled.
 
 Counts are stored relative to a reference time, so that recording a request
 changes one entry only; they would overflow if it was never moved.
@@ -81,19 +70,15 @@
 
 @dataclasses.dataclass(slots=True)
 class Entry:
-    """Requests of one workspace, relative to the reference time of the table.
+    """Requests of one workspace.
 
     Attributes:
       weight: Weight of the workspace in fair shares.
-      slow: Requests, decayed with `HALF_LIFE_MS`.
-      fast: Requests, decayed with `FAST_HALF_LIFE_MS`.
-      squares: Variance of `fast`.
+      count: Its requests, relative to the reference time of the table.
     """
 
     weight: float
-    slow: float = 0.0
-    fast: float = 0.0
-    squares: float = 0.0
+    count: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -102,7 +87,7 @@
 
     Attributes:
       entries: Requests by workspace.
-      rest: Requests of all others, decayed with `HALF_LIFE_MS`.
+      rest: Requests of all others.
     """
 
     entries: dict[str, Entry] = dataclasses.field(default_factory=dict)
@@ -121,23 +106,19 @@
                 least = min(
                     self.entries,
                     key=lambda name: (
-                        self.entries[name].slow / self.entries[name].weight
+                        self.entries[name].count / self.entries[name].weight
                     ),
                 )
-                self.rest += self.entries.pop(least).slow
+                self.rest += self.entries.pop(least).count
             found = self.entries[workspace] = Entry(weight)
         found.weight = weight
         return found
 
-    def rescale(self, age_ms: float) -> None:
-        """Makes the counts relative to a later reference time."""
-        slow = 0.5 ** (age_ms / HALF_LIFE_MS)
-        fast = 0.5 ** (age_ms / FAST_HALF_LIFE_MS)
-        self.rest *= slow
+    def scale(self, factor: float) -> None:
+        """Multiplies all counts by a factor."""
+        self.rest *= factor
         for entry in self.entries.values():
-            entry.slow *= slow
-            entry.fast *= fast
-            entry.squares *= fast * fast
+            entry.count *= factor
 
 
 class Usage:
@@ -180,11 +161,11 @@
             self.ranks.clear()
             self.reference_at = self.started_at = now
         self.recorded_at = now
-        age_ms = now - self.reference_at
-        if age_ms > RESCALE_HALF_LIVES * FAST_HALF_LIFE_MS:
+        age = (now - self.reference_at) / HALF_LIFE_MS
+        if age > RESCALE_HALF_LIVES:
             for counts in self.ranks.values():
-                counts.rescale(age_ms)
-            self.reference_at, age_ms = now, 0.0
+                counts.scale(0.5**age)
+            self.reference_at, age = now, 0.0
         counts_of_rank = self.ranks.get(rank)
         if counts_of_rank is None:
             if len(self.ranks) >= RANKS_MAX:
@@ -193,10 +174,7 @@
         entry = counts_of_rank.entry(
             workspace, weight=weight, tracked=self.tracked
         )
-        fast = amount * 2.0 ** (age_ms / FAST_HALF_LIFE_MS)
-        entry.slow += amount * 2.0 ** (age_ms / HALF_LIFE_MS)
-        entry.fast += fast
-        entry.squares += fast * fast
+        entry.count += amount * 2.0**age
 
     def demand(self, now: float) -> dict[int, Demand]:
         """Returns the demand by rank.
@@ -206,52 +184,22 @@
         """
         if not self.ranks or now - self.recorded_at > IDLE_MS:
             return {}
-        age_ms, since_ms = now - self.reference_at, now - self.started_at
-        slow, fast = (
-            rate_factor(half_life_ms, age_ms=age_ms, since_ms=since_ms)
-            for half_life_ms in (HALF_LIFE_MS, FAST_HALF_LIFE_MS)
-        )
+        since_ms = max(AGE_MS_MIN, now - self.started_at)
+        collected = 1.0 - 0.5 ** (since_ms / HALF_LIFE_MS)
+        per_second = math.log(2.0) / (HALF_LIFE_MS / 1e3) / collected
+        factor = per_second * 0.5 ** ((now - self.reference_at) / HALF_LIFE_MS)
         return {
             rank: Demand(
                 {
-                    name: rate_of(entry, slow=slow, fast=fast)
+                    name: entry.count * factor
                     for name, entry in counts.entries.items()
                 },
-                counts.rest * slow,
+                counts.rest * factor,
             )
             for rank, counts in self.ranks.items()
         }
 
 
-def rate_factor(
-    half_life_ms: float, *, age_ms: float, since_ms: float
-) -> float:
-    """Returns the requests per second for a count of 1.
-
-    Args:
-      half_life_ms: Half-life of the counts.
-      age_ms: Age of the reference time.
-      since_ms: Time over which the counts were collected.
-    """
-    collected = 1.0 - 0.5 ** (max(AGE_MS_MIN, since_ms) / half_life_ms)
-    per_second = math.log(2.0) / (half_life_ms / 1e3) / collected
-    return float(per_second * 0.5 ** (age_ms / half_life_ms))
-
-
-def rate_of(entry: Entry, *, slow: float, fast: float) -> float:
-    """Returns the requests per second of a workspace.
-
-    Args:
-      entry: Its counts.
-      slow: Requests per second for a slow count of 1.
-      fast: The same of a fast count.
-    """
-    usual = entry.slow * slow
-    recent = entry.fast * fast
-    deviation = math.sqrt(entry.squares) * fast
-    return max(usual, recent - INCREASE_SIGMAS * deviation)
-
-
 def report(
     demands: Iterable[tuple[int, Demand]],
     *,
