--- a/src/currantcart/proxy/requests/attempts.py
+++ b/src/currantcart/proxy/requests/attempts.py
@@ -71,6 +71,8 @@
             kind=request.route.name
             if self.context.settings.placement.by_completion
             else "",
+            workspace=call.lineage.workspace,
+            weight=call.lineage.weight,
         )
 
     def hand_to_local(self, call: call_module.Call, now: float) -> None:
--- a/src/currantcart/proxy/streams/peers.py
+++ b/src/currantcart/proxy/streams/peers.py
@@ -355,6 +355,7 @@
             slow_now=state.slow_now,
             now=self.context.now,
         )
+        known.usage = state.usage
         known.update_load(
             busy=state.busy, limit=state.limit, now=self.context.now
         )
--- a/src/currantcart/proxy/targets/guard.py
+++ b/src/currantcart/proxy/targets/guard.py
@@ -16,6 +16,7 @@
     overload,
     statements,
     target_exchange,
+    target_usage,
     warm_up,
 )
 from currantcart.proxy.targets import job as job_module
@@ -48,6 +49,7 @@
       exchange: Connections to the target.
       overload: Overload level of the target.
       hand_backs: Hands waiting requests back to be placed elsewhere.
+      usage: Demand on the target by workspace.
       on_leaving: Called with the target's id and incarnation when it states
         that it is leaving; set by the node.
       publish: Sends the node's status to its peers; set by the node.
@@ -64,7 +66,8 @@
         self.queue: slots.SlotQueue[job_module.Job] = slots.SlotQueue(
             target_rate.TargetRate()
             if context.settings.first_start
-            else target_rate.unknown()
+            else target_rate.unknown(),
+            fair=context.settings.fair_shares.enabled,
         )
         self.running: dict[int, job_module.Job] = {}
         self.by_request: dict[str, job_module.Job] = {}
@@ -79,6 +82,7 @@
         self.statements = statements.Statements(context)
         self.overload = overload.Overload(context, queue=self.queue)
         self.hand_backs = hand_backs.HandBacks(context, queue=self.queue)
+        self.usage = target_usage.TargetUsage(context)
         self.on_leaving: Callable[[str, int], object] = lambda _id, _born: None
         self.publish: Callable[[], None] = lambda: None
         self.sweeping: asyncio.TimerHandle | None = None
@@ -160,6 +164,7 @@
             leaving=bool(self.target_id) and not self.ready,
             born=self.born,
             work_ms=math.ceil(self.exchange.work_time.reported_ms),
+            usage=self.usage.update(own_level=self.overload.gauge.level),
         )
         if self.context.settings.placement.by_completion:
             now = self.context.now
@@ -252,6 +257,7 @@
             self.refuse(job, reason)
             return job
         self.overload.record_objective(opening.objective_ms)
+        self.usage.record(opening)
         verdict, job.ticket = self.queue.offer(
             job,
             priority=opening.priority,
@@ -260,6 +266,8 @@
             expires_at=expires_at,
             age_ms=opening.age_ms,
             wait_ms_max=self.wait_ms_max(opening),
+            workspace=opening.workspace,
+            weight=opening.weight,
         )
         if verdict is not slots.Verdict.REFUSE:
             self.overload.gauge.count_offer(refused=False)
@@ -422,8 +430,12 @@
           code: Reason of the refusal at a target without a limit.
         """
         is_limited = self.queue.rate.is_limited
-        if not is_limited or job.opening.placed_before:
-            self.overload.gauge.count_offer(refused=True)
+        placed_before = bool(job.opening.placed_before)
+        fair = bool(job.opening.workspace) and self.queue.is_shared(
+            job.opening.priority
+        )
+        if placed_before if is_limited else not (fair and placed_before):
+            self.overload.gauge.count_offer(refused=True, fair=fair)
         self.refuse(job, "target_limited" if is_limited else code)
 
     def refuse_waiting(self, code: str) -> None:
--- a/src/currantcart/routing/picker.py
+++ b/src/currantcart/routing/picker.py
@@ -78,6 +78,7 @@
       slow_now: How much longer than usual its requests take, as reported.
       slow_now_at: Time of that report.
       transit_ms: Round-trip time to its node.
+      usage: Demand by rank and workspace, as reported.
     """
 
     instance: str
@@ -100,6 +101,7 @@
     slow_now: float = 1.0
     slow_now_at: float = 0.0
     transit_ms: float = 0.0
+    usage: dict[str, float] = dataclasses.field(default_factory=dict)
 
     def load(self) -> float:
         """Returns the share of its slots in use; 1 when all are taken."""
--- a/src/currantcart/telemetry/definitions.py
+++ b/src/currantcart/telemetry/definitions.py
@@ -50,6 +50,10 @@
         "Requests of known work, by how near the chosen target is",
         ["service", "place"],
     ),
+    "fair_shed": (
+        "Requests shed because their workspace was above its share",
+        ["service"],
+    ),
     "links_lost": ("Streams to peers that were lost", ["reason"]),
 }
 HISTOGRAMS: dict[str, tuple[str, list[str]]] = {
@@ -67,6 +71,10 @@
         ["service"],
     ),
     "target_seconds": ("From handing over to the target's answer", []),
+    "fair_shed_excess": (
+        "Usage of a workspace over its share, of requests shed for it",
+        [],
+    ),
 }
 
 
@@ -99,4 +107,5 @@
     "retry_budget_repeats": "Repeats of the window",
     "retry_budget_left": "Repeats that this node may still send",
     "retry_budget_share": "This node's part of the fixed number of repeats",
+    "fair_share_excess": "Largest usage of a workspace over its share",
 }
--- a/tests/proxy/targets/test_hand_backs.py
+++ b/tests/proxy/targets/test_hand_backs.py
@@ -153,9 +153,12 @@
     """Guards against shedding and used-up budgets for requests that did run."""
     counted: list[bool] = []
     gauge = crowd.near.node.guard.overload.gauge
-    gauge.count_offer = (  # type: ignore[method-assign]
-        lambda *, refused: counted.append(refused)
-    )
+
+    def count_offer(*, refused: bool, fair: bool = False) -> None:
+        del fair
+        counted.append(refused)
+
+    gauge.count_offer = count_offer  # type: ignore[method-assign]
     await crowd.ask()
     await crowd.statuses()
     assert counted == [False] * REQUESTS
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -59,6 +59,7 @@
     assert settings.bounds.cold_slack == cold_slack
     assert settings.descriptors == 4_100
     assert settings.placement.by_completion
+    assert settings.fair_shares.enabled
     assert settings.first_start == has_optional
 
 
