--- a/src/currantcart/proxy/callers/caller.py
+++ b/src/currantcart/proxy/callers/caller.py
@@ -54,6 +54,9 @@
     def cancel(self, call: call_module.Call) -> None:
         """Cancels a request whose caller has disconnected."""
 
+    def cancel_wait(self, exchange: exchange_module.Exchange) -> None:
+        """Cancels the wait of a request whose caller has disconnected."""
+
 
 class CallerConnection(asyncio.Protocol):
     """One connection of a caller.
@@ -237,6 +240,8 @@
             if exchange.call is not None:
                 self.owner.cancel(exchange.call)
                 exchange.call = None
+            elif exchange.waiter is not None:
+                self.owner.cancel_wait(exchange)
 
     def end(self) -> None:
         """Cancels the requests of this connection, and closes it."""
--- a/src/currantcart/proxy/callers/exchange.py
+++ b/src/currantcart/proxy/callers/exchange.py
@@ -7,6 +7,7 @@
 from currantcart.http1 import status
 from currantcart.proxy.requests import call as call_module
 from currantcart.proxy.requests import intake
+from currantcart.workspace import rate_queue
 
 
 class AnswerWriter(Protocol):
@@ -33,6 +34,7 @@
       size: Bytes of its body received so far.
       complete: Whether the complete request was read.
       call: The routed request; None before routing and after its answer.
+      waiter: Its wait for a token; None unless it waits.
       answer: The answer's bytes, until they are written in order.
       started: Whether routing has begun.
       close: Whether the connection is closed after the answer.
@@ -49,6 +51,7 @@
         "rejection",
         "size",
         "started",
+        "waiter",
         "writer",
     )
 
@@ -60,6 +63,7 @@
         self.size = 0
         self.complete = False
         self.call: call_module.Call | None = None
+        self.waiter: rate_queue.Waiter | None = None
         self.answer: bytes | None = None
         self.started = False
         self.close = False
--- a/src/currantcart/proxy/callers/frontend.py
+++ b/src/currantcart/proxy/callers/frontend.py
@@ -8,7 +8,7 @@
 from currantcart.catalog import model as catalog_model
 from currantcart.http1 import status
 from currantcart.proxy import context as proxy_context
-from currantcart.proxy.callers import caller
+from currantcart.proxy.callers import caller, rate_wait
 from currantcart.proxy.callers import exchange as exchange_module
 from currantcart.proxy.requests import call as call_module
 from currantcart.proxy.requests import intake, outbound
@@ -23,6 +23,7 @@
       bound: Limit on the number of open connections.
       saturated: Whether there are so many that idle ones are closed.
       held_bytes: Bytes of request bodies in memory.
+      rate_wait: Requests that wait for a token of their workspace's rate.
     """
 
     HELD_BYTES_MAX = 96 * 1024 * 1024
@@ -46,6 +47,14 @@
         )
         self.saturated = False
         self.held_bytes = 0
+        self.rate_wait = rate_wait.RateWait(
+            context,
+            quotas=checks.quotas,
+            check=self.check_granted,
+            begin=self.begin,
+            reject=self.reject,
+        )
+        self.use_settings()
 
     @property
     def limits(self) -> catalog_model.CallerLimits:
@@ -106,7 +115,7 @@
 
     def route(self, exchange: exchange_module.Exchange) -> None:
         """Checks a complete request, and routes or rejects it."""
-        checked: intake.Request | intake.Rejection
+        checked: intake.Request | intake.Rejection | intake.TokenNeeded
         if exchange.rejection is not None:
             checked = exchange.rejection
         else:
@@ -119,9 +128,47 @@
             )
         if isinstance(checked, intake.Rejection):
             self.reject(exchange, checked)
-            return
-        checked.body = b"".join(exchange.parts)
-        exchange.call = self.outbound.begin(checked, exchange.set_answer)
+        elif isinstance(checked, intake.TokenNeeded):
+            self.rate_wait.offer(exchange, checked.request)
+        else:
+            self.begin(exchange, checked)
+
+    def begin(
+        self, exchange: exchange_module.Exchange, request: intake.Request
+    ) -> None:
+        """Routes a request that passed the checks."""
+        request.body = b"".join(exchange.parts)
+        exchange.call = self.outbound.begin(
+            request,
+            self.rate_wait.timed(exchange, request)
+            if request.workspace in self.rate_wait.queue.lines
+            else exchange.set_answer,
+        )
+
+    def check_granted(
+        self, exchange: exchange_module.Exchange
+    ) -> intake.Request | intake.Rejection:
+        """Checks a request that has waited for its token again."""
+        checked = self.intake.check(
+            exchange.head,
+            self.context.catalog,
+            self.context.freshness,
+            self.context.now,
+            closing=self.context.rejecting_callers,
+            has_token=True,
+        )
+        assert not isinstance(checked, intake.TokenNeeded)
+        return checked
+
+    def cancel_wait(self, exchange: exchange_module.Exchange) -> None:
+        """Cancels the wait of a request whose caller has disconnected."""
+        self.rate_wait.cancel(exchange)
+
+    def use_settings(self) -> None:
+        """Applies the settings in force."""
+        enabled = self.context.settings.rate_queue.enabled
+        self.intake.rate_queue = self.rate_wait.queue if enabled else None
+        self.rate_wait.use_settings()
 
     def cancel(self, call: call_module.Call) -> None:
         """Cancels a request whose caller has disconnected."""
@@ -147,10 +194,9 @@
             ),
         )
         after = rejection.retry_after_ms
-        head, body = intake.local_answer(
-            rejection.code,
-            retry_after_ms=intake.jitter(after, self.context.rng),
-        )
+        if not rejection.spread:
+            after = intake.jitter(after, self.context.rng)
+        head, body = intake.local_answer(rejection.code, retry_after_ms=after)
         exchange.set_answer(rejection.status, head, body)
 
     def route_name(self, head: intake.RequestHead) -> str:
@@ -183,7 +229,8 @@
             self.evict(connection, "crowded")
 
     def close_idle(self) -> None:
-        """Closes the connections without a request."""
+        """Rejects waiting requests, and closes connections without one."""
+        self.rate_wait.reject_all()
         for connection in list(self.connections):
             if not connection.exchanges and connection.transport is not None:
                 connection.transport.close()
--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -209,6 +209,7 @@
         catalog = self.context.catalog
         assert catalog is not None
         self.quotas.configure(catalog.rates(), self.context.now)
+        self.callers.rate_wait.review()
         self.guard.warm_up.configure()
 
     def apply_evacuation(self, change: evacuation.Change) -> None:
@@ -273,6 +274,7 @@
                 self.outbound.retries.slack_share.nodes
             ),
             "retry_budget_nodes_age_seconds": self.outbound.retries.nodes_age,
+            "rate_waiting": lambda: self.callers.rate_wait.queue.requests,
             "log_bytes_dropped": lambda: self.context.log.dropped_bytes,
         }
         self.context.counts.service_gauges = self.outbound.retries.gauges()
@@ -376,6 +378,7 @@
         """Applies changed bounds; changed addresses need a restart."""
         before = self.context.settings
         self.context.settings = settings
+        self.callers.use_settings()
         self.callers.intake.revoke_ms = settings.bounds.revoke_seconds * 1e3
         self.outbound.retries.use_bounds(settings.bounds)
         self.guard.warm_up.configure()
@@ -393,8 +396,12 @@
     # Shutdown.
 
     def running(self) -> int:
-        """Returns how many requests are routed or run at the local target."""
-        return len(self.outbound.calls) + len(self.guard.running)
+        """Returns how many requests wait, are routed or run at the target."""
+        return (
+            len(self.outbound.calls)
+            + len(self.guard.running)
+            + self.callers.rate_wait.queue.requests
+        )
 
     async def drain(self) -> int:
         """Drains the node and ends its registration.
--- a/src/currantcart/proxy/requests/intake.py
+++ b/src/currantcart/proxy/requests/intake.py
@@ -13,7 +13,7 @@
 from currantcart.catalog import model as catalog_model
 from currantcart.fleet import freshness
 from currantcart.proxy import header_names
-from currantcart.workspace import quota
+from currantcart.workspace import quota, rate_queue
 
 STALE_MS = 3_000.0
 """Age of the configuration above which a missing route proves nothing."""
@@ -92,12 +92,26 @@
       code: Error code, the body of the answer.
       retry_after_ms: When a retry may succeed; 0 for no Retry-After.
       workspace: Workspace of the request; empty when it isn't known.
+      spread: Whether `retry_after_ms` is chosen for this caller alone, so that
+        no jitter is to be added.
     """
 
     status: int
     code: str
     retry_after_ms: float = 0.0
     workspace: str = ""
+    spread: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TokenNeeded:
+    """A request that passed the checks and found no token.
+
+    Attributes:
+      request: The request; its head lines for the target are not complete.
+    """
+
+    request: Request
 
 
 NOT_READY = Rejection(503, "not_ready", NOT_READY_RETRY_MS)
@@ -109,6 +123,8 @@
     Attributes:
       revoke_ms: Time within which a withdrawn key must stop working.
       quotas: Rate limits of the workspaces.
+      rate_queue: Decides which requests get tokens near a rate limit; None if
+        a request without a token is refused at once.
       workspace_line: Header line for the target that names the workspace.
       caller_line: Header line for the target that names the local service.
     """
@@ -123,6 +139,7 @@
     ) -> None:
         self.revoke_ms = revoke_ms
         self.quotas = quotas
+        self.rate_queue: rate_queue.RateQueue | None = None
         self.workspace_line = f"{names.workspace}: %s\r\n".encode()
         self.caller_line = f"{names.caller}: {service}\r\n".encode()
 
@@ -134,7 +151,8 @@
         now: float,
         *,
         closing: bool = False,
-    ) -> Request | Rejection:
+        has_token: bool = False,
+    ) -> Request | Rejection | TokenNeeded:
         """Checks a complete request.
 
         Args:
@@ -146,9 +164,11 @@
             a root request accepted late in a shutdown would be cut off after
             its work was done. Without keys the two can't be told apart, and
             all are accepted.
+          has_token: Whether a token was taken for it before.
 
         Returns:
-          The request to route, or the reason why it is not routed.
+          The request to route, the reason why it is not routed, or the request
+          that lacks a token.
         """
         if catalog is None:
             return NOT_READY
@@ -180,17 +200,17 @@
             internal=internal,
         )
         if catalog.keyed and not internal:
-            found = self.workspace_of(
-                head,
-                catalog,
-                config_freshness,
-                objective_ms=route.objective_ms,
-                now=now,
-            )
+            found = self.workspace_of(head, catalog, config_freshness, now)
             if isinstance(found, Rejection):
                 return found
             request.workspace = found.name
             request.priority = rank_of(route, found)
+            if not has_token:
+                missing = self.take_token(request, now)
+                if missing is not None:
+                    # The checks are repeated when it is granted a token.
+                    lines.pop()
+                    return missing
             lines.append(self.workspace_line % found.name.encode())
         request.head = b"".join(lines)
         return request
@@ -200,17 +220,14 @@
         head: RequestHead,
         catalog: catalog_model.Catalog,
         config_freshness: freshness.Freshness,
-        *,
-        objective_ms: float,
         now: float,
     ) -> catalog_model.Workspace | Rejection:
-        """Returns the workspace of a key, and takes a token of its rate limit.
+        """Returns the workspace of a key, or why it is not accepted.
 
         Args:
           head: Head of the request.
           catalog: Configuration in force.
           config_freshness: How current it is.
-          objective_ms: Latency objective of the route.
           now: Milliseconds of the node's clock.
         """
         if not config_freshness.may_serve_keys(now, bound_ms=self.revoke_ms):
@@ -223,14 +240,31 @@
             if config_freshness.age(now) < STALE_MS:
                 return Rejection(401, "key_unknown")
             return NOT_READY
-        wait_ms = self.quotas.admit(found.name, now)
-        if wait_ms:
-            after = retry_after.delay_ms(
-                objective_ms=objective_ms, least_ms=wait_ms
-            )
-            return Rejection(429, "rate_exceeded", after, found.name)
         return found
 
+    def take_token(
+        self, request: Request, now: float
+    ) -> Rejection | TokenNeeded | None:
+        """Takes a token of the workspace's rate limit; None if one was left.
+
+        Args:
+          request: The request, with its workspace and rank.
+          now: Milliseconds of the node's clock.
+        """
+        workspace = request.workspace
+        queue = self.rate_queue
+        if queue is not None and queue.is_near_limit(workspace):
+            if queue.admit(workspace, request.priority, now):
+                return None
+            return TokenNeeded(request)
+        wait_ms = self.quotas.admit(workspace, now)
+        if not wait_ms:
+            return None
+        after = retry_after.delay_ms(
+            objective_ms=request.route.objective_ms, least_ms=wait_ms
+        )
+        return Rejection(429, "rate_exceeded", after, workspace)
+
 
 def rank_of(
     route: catalog_model.Route, workspace: catalog_model.Workspace | None
--- a/src/currantcart/telemetry/definitions.py
+++ b/src/currantcart/telemetry/definitions.py
@@ -13,6 +13,10 @@
         ["service", "outcome"],
     ),
     "rejections": ("Requests that went nowhere, by cause", ["code"]),
+    "rate_decisions": (
+        "Decisions about requests that found no token of their rate",
+        ["decision"],
+    ),
     "attempts": (
         "Attempts at targets, by how they ended",
         ["service", "outcome"],
@@ -40,6 +44,7 @@
         "From a request's head to its answer",
         ["service"],
     ),
+    "rate_wait_seconds": ("Wait for a token of the rate", ["decision"]),
     "queue_seconds": ("Wait for a slot beside the target", []),
     "target_seconds": ("From handing over to the target's answer", []),
 }
@@ -56,6 +61,7 @@
     "slots": "Requests that the target is given at once",
     "target_limit": "Requests per second that the target accepts, if limited",
     "pressure": "Part of the demand on the target that has to go",
+    "rate_waiting": "Requests that wait for a token of their rate",
     "rates_exhausted": "Workspaces that have come to the end of their rate",
     "budgets_exhausted": "Services whose repeats are used up",
     "retry_budget_nodes": "Nodes that the retry budgets assume",
--- /dev/null
+++ b/src/currantcart/workspace/rate_queue.py
@@ -0,0 +1,692 @@
+"""Order in which requests get the tokens of their workspace's rate limit.
+
+A request that finds no token waits for one as long as its grant is likely. The
+more urgent rank goes first, and the earlier deadline within a rank. Each rank
+is guaranteed a part of the tokens, so that none starves. Tokens are taken only
+through `Quotas.admit`, when a request is granted; waiting takes none.
+
+Nodes do not know the requests that wait at other nodes. Each expects its share
+of the workspace's future tokens, and takes them at a random pace around that
+share, because nodes that have the same counts would otherwise all grant a
+request on the same token.
+"""
+
+from __future__ import annotations
+
+import bisect
+import dataclasses
+import enum
+import random
+
+from currantcart.workspace import quota
+
+GUARANTEED_SHARE = 0.1
+"""Share of the tokens that each rank gets, however many others want them."""
+GUARANTEED_SUM_MAX = 0.5
+"""Largest sum of the guaranteed shares of all ranks."""
+CREDIT_MAX = 2.0
+PROGRESS_MAX = 2.0
+RESERVE_OF_BURST = 0.3
+"""Share of the burst that is left to more urgent ranks seen recently."""
+SEEN_MS = 3_000.0
+"""Time for which a rank counts as seen; a node of many sees few of them."""
+DEMAND_HALF_LIFE_MS = 1_000.0
+WINDOW_MS = 5_000.0
+TOLERATED_OF_WINDOW = 0.1
+TOLERATED_MIN = 20.0
+"""Requests beyond rate and burst that may run in a window, over all nodes."""
+TOLERATED_SHARE = 0.3
+"""Part of them that waiting requests may use.
+
+With 0.5 and more, many nodes grant on the same tokens, and the debt leaves too
+few tokens for the next seconds.
+"""
+GRANTS_PER_NODE = 4
+"""Grants of each node, before the others know, that need not be paced."""
+ALONE_SHARE = 0.99
+CONTENTION = 0.5
+"""Part of this node's own rate of grants that limits it near the limit.
+
+Where nodes pace their grants, a token that becomes available goes to another
+node as well. With less, more of the held requests are refused later; with 1,
+nearly nothing waits at nodes with a small share.
+"""
+NEAR_LIMIT_OF_BURST = 0.5
+"""Share of the burst below which requests are counted by rank."""
+HOLD_OF_OBJECTIVE = 0.4
+"""Largest share of the objective for which a request waits.
+
+A retry has used up a part of its objective that this node does not know. With
+longer waits, tokens go to retries whose responses are late.
+"""
+HOLD_MARGIN = 1.25
+"""Factor on the expected wait of a new request.
+
+A request that is held and then refused has lost the time that its caller could
+have used for a retry, so a doubtful one is refused at once.
+"""
+POLL_MS = 20.0
+"""Longest time between two looks at a queue.
+
+Tokens also become available when other nodes return theirs or fall silent.
+"""
+POLL_MS_MIN = 1.0
+PROMISES_MAX = 512
+RETRY_OF_LEFT = 0.32
+"""Share of the caller's remaining time after which it retries at the latest.
+
+A third is allowed; the rest is for rounding and the way to the caller.
+"""
+RETRY_OF_OBJECTIVE_MIN = 0.3
+RETRY_OF_OBJECTIVE_MAX = 0.45
+"""Shares of the objective between which a refused caller retries.
+
+A later retry that has to wait again is answered late; an earlier one meets the
+same excess.
+"""
+RETRY_MS_MAX = 2_000.0
+
+
+class Decision(enum.Enum):
+    """What happens to a request that needs a token."""
+
+    GRANTED = "granted"
+    QUEUED = "queued"
+    REFUSED = "refused"
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Waiter:
+    """A request that needs a token.
+
+    Attributes:
+      workspace: Its workspace.
+      rank: Its rank; 0 is the most urgent.
+      queued_at: When it arrived.
+      grant_by: Latest time at which a grant leaves time for its work.
+      expires_at: When its caller gives up.
+      objective_ms: Latency objective of its route.
+      size: Bytes of its body.
+    """
+
+    workspace: str
+    rank: int
+    queued_at: float
+    grant_by: float
+    expires_at: float
+    objective_ms: float
+    size: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outcome:
+    """A decision about one request.
+
+    Attributes:
+      waiter: The request.
+      decision: What happens to it.
+      tokens: Tokens that this node believed to be left.
+      ahead: Requests that went before it at this node.
+      retry_after_ms: When a refused request may be retried.
+    """
+
+    waiter: Waiter
+    decision: Decision
+    tokens: float
+    ahead: int
+    retry_after_ms: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class RankState:
+    """Demand and waiting requests of one rank of a workspace.
+
+    Attributes:
+      waiting: Waiting requests, the earliest `grant_by` first.
+      demand: Requests seen, decayed with `DEMAND_HALF_LIFE_MS`.
+      seen_at: When the last one was seen.
+      credit: Tokens of the guaranteed share that it has not used.
+    """
+
+    waiting: list[Waiter] = dataclasses.field(default_factory=list)
+    demand: float = 0.0
+    seen_at: float = float("-inf")
+    credit: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class Line:
+    """Requests of one workspace.
+
+    Attributes:
+      ranks: State by rank.
+      promised: Times at which refused callers were told to retry, ascending.
+      updated_at: Time up to which demand and credits are current.
+      reviewed_at: When it was last checked which requests still fit.
+      paced_at: Time up to which `progress` is current.
+      progress: Part of the random time until the next grant that has passed.
+      threshold: Value of `progress` at which the next grant is due.
+      expected_at: When the next grant may be possible.
+    """
+
+    ranks: dict[int, RankState] = dataclasses.field(default_factory=dict)
+    promised: list[float] = dataclasses.field(default_factory=list)
+    updated_at: float = 0.0
+    reviewed_at: float = float("-inf")
+    paced_at: float = 0.0
+    progress: float = 0.0
+    threshold: float = 1.0
+    expected_at: float = 0.0
+
+    def waiting(self) -> int:
+        """Returns the number of waiting requests."""
+        return sum(len(state.waiting) for state in self.ranks.values())
+
+    def ahead_of(self, waiter: Waiter) -> int:
+        """Returns how many requests go before a request, by rank and time."""
+        count = 0
+        for rank, state in self.ranks.items():
+            if rank < waiter.rank:
+                count += len(state.waiting)
+            elif rank == waiter.rank:
+                count += bisect.bisect_right(
+                    state.waiting, waiter.grant_by, key=grant_by
+                )
+        return count
+
+    def reserve(self, rank: int, now: float) -> float:
+        """Returns the share of the burst that a rank leaves to others."""
+        for other, state in self.ranks.items():
+            if other < rank and now - state.seen_at < SEEN_MS:
+                return RESERVE_OF_BURST
+        return 0.0
+
+    def urgent_demand(self, rank: int) -> float:
+        """Returns the demand of more urgent ranks, in requests per ms."""
+        seen = sum(
+            state.demand for other, state in self.ranks.items() if other < rank
+        )
+        return seen * 0.693 / DEMAND_HALF_LIFE_MS
+
+
+def grant_by(waiter: Waiter) -> float:
+    """Returns the sort key of waiting requests."""
+    return waiter.grant_by
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Supply:
+    """Tokens of a workspace, as one node expects them.
+
+    Attributes:
+      left: Tokens left after the others' unreported admissions.
+      burst: Size of the bucket.
+      rate: Tokens per ms over all nodes.
+      share: This node's share of the workspace's admissions, above 0 to 1.
+      nodes: Nodes that may grant tokens.
+      lag_ms: Time until other nodes know of a grant.
+    """
+
+    left: float
+    burst: float
+    rate: float
+    share: float
+    nodes: int
+    lag_ms: float
+
+    def grants_allowed(self) -> float:
+        """Returns how many tokens all nodes may grant before they know it."""
+        window = self.rate * WINDOW_MS + self.burst
+        return max(0.0, self.left - 1.0) + TOLERATED_SHARE * (
+            TOLERATED_OF_WINDOW * window + TOLERATED_MIN
+        )
+
+    def is_unpaced(self) -> bool:
+        """Returns whether each node may grant a token as soon as it has one."""
+        if self.share > ALONE_SHARE:
+            return True
+        return GRANTS_PER_NODE * self.nodes <= self.grants_allowed()
+
+    def pace(self) -> float:
+        """Returns the mean number of this node's grants per ms.
+
+        It is this node's share of what all nodes may grant before they know of
+        it, at least twice the rate, and unlimited if no other node uses it.
+        """
+        total = max(2.0 * self.rate, self.grants_allowed() / self.lag_ms)
+        return max(1e-9, total * self.share / (1.0 + 1e-9 - self.share))
+
+
+def expected_wait(
+    supply: Supply, line: Line, *, rank: int, ahead: int, now: float
+) -> float:
+    """Returns the expected time until a request gets a token, in ms.
+
+    Args:
+      supply: Tokens of its workspace.
+      line: Requests of its workspace at this node.
+      rank: Its rank.
+      ahead: Requests at this node that go before it.
+      now: Milliseconds of the node's clock.
+    """
+    own_rate = max(1e-9, supply.rate * supply.share)
+    guaranteed = guaranteed_share(line)
+    net = max(guaranteed, 1.0 - line.urgent_demand(rank) / own_rate)
+    available = supply.left - line.reserve(rank, now) * supply.burst
+    missing = max(0.0, 1.0 - available)
+    # The stock in the bucket is this node's to the extent of its share.
+    stock = max(0.0, available - 1.0) * supply.share
+    wait = missing / max(1e-9, supply.rate * net)
+    wait += max(0.0, ahead - stock) / (own_rate * net)
+    if not supply.is_unpaced():
+        left = max(0.0, line.threshold - line.progress)
+        wait += left * (CONTENTION / own_rate if missing else 1 / supply.pace())
+    state = line.ranks.get(rank)
+    if state is None or not ahead_in_other_ranks(line, rank, now):
+        return wait
+    of_rank = bisect.bisect_left(state.waiting, float("inf"), key=grant_by)
+    position = min(ahead, of_rank) + 1.0
+    by_guarantee = max(0.0, 1.0 - supply.left) / max(1e-9, supply.rate)
+    by_guarantee += max(0.0, position - state.credit) / (own_rate * guaranteed)
+    return min(wait, by_guarantee)
+
+
+def ahead_in_other_ranks(line: Line, rank: int, now: float) -> bool:
+    """Returns whether more urgent ranks were seen recently."""
+    return line.reserve(rank, now) > 0.0
+
+
+def guaranteed_share(line: Line) -> float:
+    """Returns the share of the tokens that is guaranteed to each rank."""
+    ranks = max(1, len(line.ranks))
+    return min(GUARANTEED_SHARE, GUARANTEED_SUM_MAX / ranks)
+
+
+def latest_grant(
+    now: float,
+    *,
+    received_at: float,
+    deadline_ms: float,
+    objective_ms: float,
+    work_ms: float,
+) -> float:
+    """Returns until when a new request may wait for a token.
+
+    Args:
+      now: Milliseconds of the node's clock.
+      received_at: When its head was received.
+      deadline_ms: How long its caller waits from then on.
+      objective_ms: Latency objective of its route.
+      work_ms: Time from a grant to the response.
+    """
+    in_time = received_at + min(objective_ms, deadline_ms) - work_ms
+    return min(in_time, now + HOLD_OF_OBJECTIVE * objective_ms)
+
+
+class RateQueue:
+    """Requests of one node that wait for tokens of their workspaces.
+
+    Attributes:
+      lines: Requests by workspace; only of those near their limit.
+      requests_max: Requests that may wait at once.
+      bytes_max: Bytes of their bodies.
+      requests: Requests that wait.
+      size: Bytes of their bodies.
+    """
+
+    def __init__(
+        self,
+        quotas: quota.Quotas,
+        *,
+        rng: random.Random,
+        requests_max: int,
+        bytes_max: int,
+    ) -> None:
+        self.quotas = quotas
+        self.rng = rng
+        self.requests_max = requests_max
+        self.bytes_max = bytes_max
+        self.lines: dict[str, Line] = {}
+        self.requests = 0
+        self.size = 0
+
+    # Arrival.
+
+    def is_near_limit(self, workspace: str) -> bool:
+        """Returns whether a workspace is near or above its rate limit."""
+        bucket = self.quotas.buckets.get(workspace)
+        return bucket is not None and (
+            bucket.tokens - bucket.unreported.last
+            < NEAR_LIMIT_OF_BURST * bucket.burst
+        )
+
+    def admit(self, workspace: str, rank: int, now: float) -> bool:
+        """Takes a token for a new request if it need not wait.
+
+        Args:
+          workspace: Its workspace, which is near its limit.
+          rank: Its rank.
+          now: Milliseconds of the node's clock.
+
+        Returns:
+          Whether a token was taken. If not, the request is to be offered.
+        """
+        line = self.line(workspace, now)
+        supply = self.supply(workspace, now)
+        if supply is None:
+            return True
+        self.record_demand(line, rank, now)
+        if any(
+            state.waiting
+            for other, state in line.ranks.items()
+            if other <= rank
+        ):
+            return False
+        needed = 1.0 + line.reserve(rank, now) * supply.burst
+        state = line.ranks[rank]
+        if supply.left < needed and (state.credit < 1.0 or supply.left < 1.0):
+            return False
+        return self.take(workspace, state, now)
+
+    def offer(self, waiter: Waiter, now: float) -> Outcome:
+        """Decides whether a request without a token waits or is refused."""
+        line = self.line(waiter.workspace, now)
+        supply = self.supply(waiter.workspace, now)
+        if supply is None:
+            return Outcome(waiter, Decision.GRANTED, 0.0, 0)
+        ahead = line.ahead_of(waiter)
+        wait = expected_wait(
+            supply, line, rank=waiter.rank, ahead=ahead, now=now
+        )
+        fits = (
+            self.requests < self.requests_max
+            and self.size + waiter.size <= self.bytes_max
+        )
+        if not fits or now + wait * HOLD_MARGIN > waiter.grant_by:
+            return self.refuse(waiter, line, supply, ahead, now)
+        state = line.ranks.setdefault(waiter.rank, RankState())
+        bisect.insort(state.waiting, waiter, key=grant_by)
+        self.requests += 1
+        self.size += waiter.size
+        return Outcome(waiter, Decision.QUEUED, supply.left, ahead)
+
+    def refuse_new(self, waiter: Waiter, now: float) -> Outcome:
+        """Refuses a request without a token that must not wait."""
+        line = self.line(waiter.workspace, now)
+        supply = self.supply(waiter.workspace, now)
+        if supply is None:
+            return Outcome(waiter, Decision.GRANTED, 0.0, 0)
+        ahead = line.ahead_of(waiter)
+        return self.refuse(waiter, line, supply, ahead, now)
+
+    def remove(self, waiter: Waiter) -> None:
+        """Removes a waiting request, whose place is free at once."""
+        line = self.lines.get(waiter.workspace)
+        state = line.ranks.get(waiter.rank) if line is not None else None
+        if state is not None and waiter in state.waiting:
+            state.waiting.remove(waiter)
+            self.requests -= 1
+            self.size -= waiter.size
+
+    # Grants and refusals of waiting requests.
+
+    def advance(self, now: float) -> list[Outcome]:
+        """Returns the requests whose wait ends now.
+
+        A granted request has taken its token, unless its workspace no longer
+        has a rate limit.
+        """
+        outcomes: list[Outcome] = []
+        for workspace, line in list(self.lines.items()):
+            if line.waiting():
+                outcomes += self.advance_line(workspace, line, now)
+            elif self.is_unused(workspace, line, now):
+                del self.lines[workspace]
+        return outcomes
+
+    def advance_line(
+        self, workspace: str, line: Line, now: float
+    ) -> list[Outcome]:
+        """Returns the requests of one workspace whose wait ends now."""
+        outcomes: list[Outcome] = []
+        self.line(workspace, now)
+        supply = self.supply(workspace, now)
+        if supply is None:
+            for state in line.ranks.values():
+                for waiter in list(state.waiting):
+                    self.remove(waiter)
+                    outcomes.append(Outcome(waiter, Decision.GRANTED, 0.0, 0))
+            return outcomes
+        self.add_progress(line, supply, now)
+        while (chosen := choose(line, supply, now)) is not None:
+            waiter = chosen.waiting[0]
+            if waiter.grant_by < now:
+                self.remove(waiter)
+                outcomes.append(self.refuse(waiter, line, supply, 0, now))
+                continue
+            if not self.is_due(line, supply):
+                break
+            if not self.take(workspace, chosen, now):
+                break
+            self.remove(waiter)
+            outcomes.append(Outcome(waiter, Decision.GRANTED, supply.left, 0))
+            supply = self.supply(workspace, now)
+            assert supply is not None
+        if now - line.reviewed_at >= POLL_MS:
+            line.reviewed_at = now
+            outcomes += self.review(line, supply, now)
+        line.expected_at = now + self.time_to_grant(line, supply, now)
+        return outcomes
+
+    def review(self, line: Line, supply: Supply, now: float) -> list[Outcome]:
+        """Refuses the requests that can no longer get a token in time."""
+        outcomes: list[Outcome] = []
+        ahead = 0
+        for rank in sorted(line.ranks):
+            state = line.ranks[rank]
+            kept = 0
+            for waiter in list(state.waiting):
+                wait = expected_wait(
+                    supply, line, rank=rank, ahead=ahead + kept, now=now
+                )
+                if now + wait <= waiter.grant_by:
+                    kept += 1
+                    continue
+                self.remove(waiter)
+                outcomes.append(
+                    self.refuse(waiter, line, supply, ahead + kept, now)
+                )
+            ahead += kept
+        return outcomes
+
+    def review_all(self) -> None:
+        """Lets the next `advance` check all requests, after a new limit."""
+        for line in self.lines.values():
+            line.reviewed_at = float("-inf")
+
+    def next_at(self, now: float) -> float | None:
+        """Returns when to call `advance` again; None if nothing waits."""
+        due = [
+            line.expected_at for line in self.lines.values() if line.waiting()
+        ]
+        if not due:
+            return None
+        return min(max(now + POLL_MS_MIN, min(due)), now + POLL_MS)
+
+    # Pace of this node.
+
+    def add_progress(self, line: Line, supply: Supply, now: float) -> None:
+        """Lets the random time until the next grant pass."""
+        passed = min(POLL_MS, now - line.paced_at)
+        line.paced_at = now
+        if supply.left >= 1.0:
+            added = supply.pace() * passed
+            line.progress = min(PROGRESS_MAX, line.progress + added)
+
+    def is_due(self, line: Line, supply: Supply) -> bool:
+        """Returns whether the next grant is due, and draws the one after."""
+        if supply.is_unpaced():
+            return True
+        if line.progress < line.threshold:
+            return False
+        line.progress -= line.threshold
+        line.threshold = self.draw()
+        return True
+
+    def draw(self) -> float:
+        """Returns the random length of the time until a grant, 1 on average."""
+        return self.rng.uniform(0.5, 1.5)
+
+    def time_to_grant(self, line: Line, supply: Supply, now: float) -> float:
+        """Returns the time until the next grant may be possible, in ms."""
+        missing = 1.0 - supply.left
+        if missing > 0.0:
+            return missing / max(1e-9, supply.rate)
+        if supply.is_unpaced():
+            return POLL_MS
+        return max(0.0, line.threshold - line.progress) / supply.pace()
+
+    # State.
+
+    def line(self, workspace: str, now: float) -> Line:
+        """Returns the requests of a workspace, updated to the current time."""
+        line = self.lines.get(workspace)
+        if line is None:
+            line = Line(updated_at=now, threshold=self.draw())
+            self.lines[workspace] = line
+            return line
+        passed = max(0.0, now - line.updated_at)
+        if passed:
+            line.updated_at = now
+            self.update_ranks(workspace, line, passed, now)
+        return line
+
+    def update_ranks(
+        self, workspace: str, line: Line, passed: float, now: float
+    ) -> None:
+        """Decays the demand of each rank, and adds its guaranteed tokens."""
+        weight = 0.5 ** (passed / DEMAND_HALF_LIFE_MS)
+        added = 0.0
+        bucket = self.quotas.buckets.get(workspace)
+        if bucket is not None:
+            added = (
+                bucket.rate_per_ms
+                * (1.0 - self.quotas.silent_share)
+                * bucket.unreported.share(self.quotas.nodes)
+                * guaranteed_share(line)
+                * passed
+            )
+        for rank, state in list(line.ranks.items()):
+            state.demand *= weight
+            if now - state.seen_at < SEEN_MS:
+                state.credit = min(CREDIT_MAX, state.credit + added)
+            elif not state.waiting:
+                del line.ranks[rank]
+
+    def record_demand(self, line: Line, rank: int, now: float) -> None:
+        """Counts a request of a rank."""
+        state = line.ranks.get(rank)
+        if state is None:
+            # A random start gives each of many nodes its part of a credit that
+            # none of them would reach alone.
+            state = RankState(credit=self.rng.random())
+            line.ranks[rank] = state
+        state.demand += 1.0
+        state.seen_at = now
+
+    def supply(self, workspace: str, now: float) -> Supply | None:
+        """Returns the tokens of a workspace; None without a rate limit."""
+        bucket = self.quotas.buckets.get(workspace)
+        if bucket is None:
+            return None
+        self.quotas.refill(bucket, now)
+        return Supply(
+            left=self.quotas.tokens_left(bucket, now),
+            burst=bucket.burst,
+            rate=bucket.rate_per_ms * (1.0 - self.quotas.silent_share),
+            share=min(1.0, bucket.unreported.share(self.quotas.nodes)),
+            nodes=self.quotas.nodes,
+            lag_ms=self.quotas.lag_of(bucket, now),
+        )
+
+    def take(self, workspace: str, state: RankState, now: float) -> bool:
+        """Takes a token for a request of a rank; returns whether it did."""
+        if self.quotas.admit(workspace, now):
+            return False
+        state.credit = max(0.0, state.credit - 1.0)
+        return True
+
+    def is_unused(self, workspace: str, line: Line, now: float) -> bool:
+        """Returns whether the state of a workspace can be removed."""
+        if workspace not in self.quotas.buckets:
+            return True
+        return all(
+            now - state.seen_at >= SEEN_MS for state in line.ranks.values()
+        ) and (not line.promised or line.promised[-1] < now)
+
+    # Retries.
+
+    def refuse(
+        self,
+        waiter: Waiter,
+        line: Line,
+        supply: Supply,
+        ahead: int,
+        now: float,
+    ) -> Outcome:
+        """Returns the refusal of a request, and promises it a retry time."""
+        self.quotas.buckets[waiter.workspace].refused_at = now
+        return Outcome(
+            waiter,
+            Decision.REFUSED,
+            supply.left,
+            ahead,
+            self.promise(waiter, line, supply, now),
+        )
+
+    def promise(
+        self, waiter: Waiter, line: Line, supply: Supply, now: float
+    ) -> float:
+        """Returns the delay of a refused caller's retry, in ms.
+
+        The retry comes when the tokens for the waiting requests and for the
+        retries promised before are spent, within the limits of the caller.
+        """
+        del line.promised[: bisect.bisect_right(line.promised, now)]
+        missing = max(0.0, 1.0 - supply.left) / max(1e-9, supply.rate)
+        latest = min(
+            RETRY_OF_LEFT * (waiter.expires_at - now),
+            max(missing, RETRY_OF_OBJECTIVE_MAX * waiter.objective_ms),
+            RETRY_MS_MAX,
+        )
+        earliest = max(missing, RETRY_OF_OBJECTIVE_MIN * waiter.objective_ms)
+        before = line.waiting() + len(line.promised)
+        due = missing + before / max(1e-9, supply.rate * supply.share)
+        if due < latest:
+            earliest = max(earliest, due)
+        # If no token is due in time, no moment is better than another.
+        latest = max(1.0, latest)
+        delay = self.rng.uniform(min(earliest, latest), latest)
+        if len(line.promised) < PROMISES_MAX:
+            bisect.insort(line.promised, now + delay)
+        return delay
+
+
+def choose(line: Line, supply: Supply, now: float) -> RankState | None:
+    """Returns the rank that gets the next token; None if none may take it.
+
+    A rank that has not had its guaranteed share goes first, otherwise the most
+    urgent one.
+    """
+    if supply.left < 1.0:
+        return None
+    waiting = [
+        (rank, state) for rank, state in line.ranks.items() if state.waiting
+    ]
+    owed = [state for _, state in waiting if state.credit >= 1.0]
+    if owed:
+        return max(owed, key=lambda state: state.credit)
+    for rank, state in sorted(waiting, key=lambda item: item[0]):
+        if supply.left >= 1.0 + line.reserve(rank, now) * supply.burst:
+            return state
+    return None
