--- a/src/currantcart/workspace/rate_queue.py
+++ b/src/currantcart/workspace/rate_queue.py
@@ -50,6 +50,12 @@
 rate of 5 per second, where 53 are allowed. At higher rates, pacing new requests
 costs more than it prevents.
 """
+CROWDED_REFUSALS = 2.0
+REFUSALS_HALF_LIFE_MS = 10_000.0
+"""Refusals at this node that show a demand of many times the rate.
+
+A node of many sees one or two of a workspace that is near its limit.
+"""
 ALONE_SHARE = 0.99
 PRESSED_MS = 1_000.0
 """Time for which the demand of a workspace counts as above its limit."""
@@ -234,6 +240,7 @@
       progress: Part of the random time until the next grant that has passed.
       threshold: Value of `progress` at which the next grant is due.
       expected_at: When the next grant may be possible.
+      refusals: Refused requests, decayed with `REFUSALS_HALF_LIFE_MS`.
     """
 
     ranks: dict[int, RankState] = dataclasses.field(default_factory=dict)
@@ -244,6 +251,7 @@
     progress: float = 0.0
     threshold: float = 1.0
     expected_at: float = 0.0
+    refusals: float = 0.0
 
     def waiting(self) -> int:
         """Returns the number of waiting requests."""
@@ -420,7 +428,7 @@
             return self.take(workspace, state, now)
         if supply.left < needed and (state.credit < 1.0 or supply.left < 1.0):
             return False
-        if supply.is_scarce() and self.is_pressed(workspace, now):
+        if supply.is_scarce() and line.refusals >= CROWDED_REFUSALS:
             self.add_progress(line, supply, now)
             if not self.is_due(line, supply):
                 return False
@@ -604,6 +612,7 @@
     ) -> None:
         """Decays the demand of each rank, and adds its guaranteed tokens."""
         weight = 0.5 ** (passed / DEMAND_HALF_LIFE_MS)
+        line.refusals *= 0.5 ** (passed / REFUSALS_HALF_LIFE_MS)
         added = 0.0
         bucket = self.quotas.buckets.get(workspace)
         if bucket is not None:
@@ -679,6 +688,7 @@
     ) -> Outcome:
         """Returns the refusal of a request, and promises it a retry time."""
         self.quotas.buckets[waiter.workspace].refused_at = now
+        line.refusals += 1.0
         return Outcome(
             waiter,
             Decision.REFUSED,
