--- a/src/currantcart/workspace/rate_queue.py
+++ b/src/currantcart/workspace/rate_queue.py
@@ -321,20 +321,14 @@
         left = max(0.0, line.threshold - line.progress)
         wait += left * (CONTENTION / own_rate if missing else 1 / supply.pace())
     state = line.ranks.get(rank)
-    if state is None or not ahead_in_other_ranks(line, rank, now):
+    if state is None or line.reserve(rank, now) == 0.0:
         return wait
-    of_rank = bisect.bisect_left(state.waiting, float("inf"), key=grant_by)
-    position = min(ahead, of_rank) + 1.0
+    position = min(ahead, len(state.waiting)) + 1.0
     by_guarantee = max(0.0, 1.0 - supply.left) / max(1e-9, supply.rate)
     by_guarantee += max(0.0, position - state.credit) / (own_rate * guaranteed)
     return min(wait, by_guarantee)
 
 
-def ahead_in_other_ranks(line: Line, rank: int, now: float) -> bool:
-    """Returns whether more urgent ranks were seen recently."""
-    return line.reserve(rank, now) > 0.0
-
-
 def guaranteed_share(line: Line) -> float:
     """Returns the share of the tokens that is guaranteed to each rank."""
     ranks = max(1, len(line.ranks))
