--- a/src/currantcart/proxy/context.py
+++ b/src/currantcart/proxy/context.py
@@ -36,6 +36,8 @@
       rejecting_callers: Whether the node rejects new requests of callers.
       leaving: Whether the node rejects new requests for its target.
       status_interval_ms: Time between two statuses on a stream.
+      direct_interval_ms: The same for a node that sends its status to all
+        others.
       started_at: Start of this process, in milliseconds of the node's clock.
     """
 
@@ -59,6 +61,7 @@
     rejecting_callers: bool = False
     leaving: bool = False
     status_interval_ms: float = 400.0
+    direct_interval_ms: float = 400.0
     started_at: float = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -10,7 +10,7 @@
 
 from currantcart import background
 from currantcart.admission import connections
-from currantcart.fleet import evacuation, target_record
+from currantcart.fleet import digest, evacuation, target_record
 from currantcart.proxy import context as proxy_context
 from currantcart.proxy import control, shutdown, state_log, statuses
 from currantcart.proxy import settings as proxy_settings
@@ -33,6 +33,10 @@
 TICK_MS = 1_000 * TICK_SECONDS
 TRANSIT_MS = 20.0
 """Time from sending an update until peers have processed it."""
+RELAYED_STATUS_MS = digest.STATUS_MS + 2 * (digest.DIGEST_MS + TRANSIT_MS)
+"""Time until all nodes have a status that goes through two relays."""
+RELAYED_COUNTS_MS = 3 * TICK_MS + TRANSIT_MS
+"""The same for expedited counts: each hop waits for a tick."""
 SWEEP_TICKS = 10
 RESTART_SECONDS = 0.5
 # Longest wait of a starting node for the first status of a peer.
@@ -80,6 +84,8 @@
       discovered: Set after the store was asked for peers and the wait for a
         peer's first status has ended.
       ticks: Number of ticks since the start.
+      published_changes: Changes of the target and of the version that all
+        peers were told of, in a fleet with relays.
     """
 
     def __init__(
@@ -139,6 +145,12 @@
             on_lost=self.handle_link_lost,
             on_gone=lambda peer: self.quotas.remove_peer(peer.member.process),
             on_counts=self.statuses.apply_counts,
+            on_row=self.statuses.apply_row,
+            own_status=self.statuses.own_status,
+            reported_counts=lambda process: self.quotas.reported.get(
+                process, {}
+            ),
+            counts=self.statuses.counts_for,
             expedited=self.quotas.expedited,
         )
         self.silence = silence.SilenceDetector(
@@ -186,6 +198,7 @@
         self.stopping = asyncio.Event()
         self.discovered = asyncio.Event()
         self.ticks = 0
+        self.published_changes = 0
         self.add_gauges()
 
     # Events from peers.
@@ -214,6 +227,9 @@
     def apply_evacuation(self, change: evacuation.Change) -> None:
         """Stops or resumes the placement on targets of a failure domain."""
         self.peers.reachability.invalidate()
+        if self.peers.relay.is_acting:
+            # The nodes that it reaches first have no streams to all others.
+            self.peers.publish()
         own = self.context.settings.failure_domain
         if own in change.evacuated:
             self.guard.refuse_waiting("domain_evacuated")
@@ -259,7 +275,11 @@
             "config_age_seconds": lambda: known.age(self.context.now) / 1e3,
             "domains_evacuated": lambda: len(self.context.evacuations.domains),
             "peers": lambda: len(self.peers.by_instance),
-            "peers_silent_ratio": self.silence.share,
+            "peers_silent_ratio": self.silent_share,
+            "streams": lambda: (
+                len(self.peers.dialled) + len(self.peers.accepted)
+            ),
+            "relaying": lambda: float(self.peers.relay.is_acting),
             "calls": lambda: len(self.outbound.calls),
             "caller_connections": lambda: len(self.callers.connections),
             "running": lambda: queue.running,
@@ -345,23 +365,16 @@
     def tick(self) -> None:
         """Updates and publishes the node's state; every few ticks sweeps."""
         self.ticks += 1
-        if self.guard.update_overload():
+        is_overload_changed = self.guard.update_overload()
+        if is_overload_changed or self.is_change_unpublished():
             self.peers.publish()
         self.outbound.refresh_local_target()
-        self.peers.tick()
+        pressing = bool(self.quotas.expedited())
+        self.peers.tick(pressing=pressing)
         self.feed.tick()
         self.outbound.retries.record_fleet_size()
         now = self.context.now
-        self.silence.tick(probing=bool(self.quotas.expedited()))
-        self.quotas.set_silent_share(self.silence.share(), now)
-        peer_count = len(self.peers.by_instance)
-        self.quotas.set_fleet(
-            nodes=peer_count + 1,
-            lag_ms=dissemination_lag_ms(self.context.status_interval_ms),
-            expedited_lag_ms=dissemination_lag_ms(
-                publisher.counts_interval_ms(peer_count)
-            ),
-        )
+        self.update_quotas(now, pressing=pressing)
         if self.ticks % SWEEP_TICKS == 0:
             self.callers.bound.limit = connections.caller_limit(
                 descriptors=self.context.settings.descriptors,
@@ -372,6 +385,47 @@
             self.state_log.log_changes(now)
             self.guard.exchange.pool.sweep(now)
 
+    def is_change_unpublished(self) -> bool:
+        """Returns whether all peers are to be told of a change now.
+
+        In a fleet with relays, a change of the target or of the version has to
+        be sent before counts with a later sequence number are.
+        """
+        changes = self.statuses.count_changes()
+        if not self.peers.relay.enabled or changes == self.published_changes:
+            return False
+        self.published_changes = changes
+        return True
+
+    def silent_share(self) -> float:
+        """Returns the share of the fleet that is silent, 0 to 1."""
+        relay = self.peers.relay
+        return relay.share if relay.enabled else self.silence.share()
+
+    def update_quotas(self, now: float, *, pressing: bool) -> None:
+        """Sets how many nodes admit requests, and when they report them.
+
+        Args:
+          now: Milliseconds of the node's clock.
+          pressing: Whether a workspace is near its rate limit.
+        """
+        peer_count = len(self.peers.by_instance)
+        if self.peers.relay.enabled:
+            lag_ms = RELAYED_STATUS_MS
+            expedited_lag_ms = RELAYED_COUNTS_MS
+        else:
+            self.silence.tick(probing=pressing)
+            lag_ms = dissemination_lag_ms(self.context.status_interval_ms)
+            expedited_lag_ms = dissemination_lag_ms(
+                publisher.counts_interval_ms(peer_count)
+            )
+        self.quotas.set_silent_share(self.silent_share(), now)
+        self.quotas.set_fleet(
+            nodes=peer_count + 1,
+            lag_ms=lag_ms,
+            expedited_lag_ms=expedited_lag_ms,
+        )
+
     def use_settings(self, settings: proxy_settings.ProxySettings) -> None:
         """Applies changed bounds; changed addresses need a restart."""
         before = self.context.settings
--- a/src/currantcart/proxy/statuses.py
+++ b/src/currantcart/proxy/statuses.py
@@ -58,6 +58,9 @@
         self.state_at = context.now
         self.counts_cache: dict[int, dict[str, int]] = {}
         self.counts_sequence = 0
+        self.changes = 1
+        self.changed_state: tuple[object, int] = (self.state_of, 0)
+        self.own_cursor = 0
 
     def status_for(self, item: link.Link) -> frames.Status:
         """Returns the status to send on a stream."""
@@ -76,6 +79,46 @@
             if item.peer
             else None,
             evacuations=self.feed.evacuations.unsent(item),
+            sequence=self.count_changes() + self.quotas.sequence,
+        )
+
+    def own_status(self, complete: bool) -> frames.Status:
+        """Returns the status as this node relays it itself.
+
+        Args:
+          complete: Whether all counts are returned, rather than those that
+            have changed since the last call.
+        """
+        now, known = self.context.now, self.context.freshness
+        cursor = 0 if complete else self.own_cursor
+        self.own_cursor = self.quotas.sequence
+        return frames.Status(
+            now_ms=now,
+            echo_ms=0.0,
+            held_ms=0.0,
+            version=known.version,
+            as_of_ms=known.as_of,
+            target=self.target_state(now),
+            counts=self.quotas.counts_since(cursor),
+            sequence=self.count_changes() + self.quotas.sequence,
+        )
+
+    def count_changes(self) -> int:
+        """Returns how often the target's life cycle or the version changed."""
+        state = (self.guard.life_cycle(), self.context.freshness.version)
+        if state != self.changed_state:
+            self.changed_state = state
+            self.changes += 1
+        return self.changes
+
+    def counts_for(self, item: link.Link) -> frames.Counts:
+        """Returns the counts to send on a stream before the next status.
+
+        The sequence number is that of the last status, which every change
+        other than of counts is sent with.
+        """
+        return frames.Counts(
+            self.unsent_counts(item), self.changes + self.quotas.sequence
         )
 
     def unsent_counts(self, item: link.Link) -> dict[str, int]:
@@ -116,10 +159,20 @@
         self.feed.handle_status(peer, item, status)
         self.apply_counts(peer, status.counts)
 
+    def apply_row(
+        self, peer: peer_module.Peer, item: link.Link, row: frames.Row
+    ) -> None:
+        """Applies what a relay knows of a peer."""
+        self.on_status()
+        self.feed.handle_row(item, row, is_sender=peer.member == item.peer)
+        self.apply_counts(peer, row.counts)
+
     def apply_counts(
         self, peer: peer_module.Peer, counts: dict[str, int]
     ) -> None:
         """Applies a peer's counts of admitted requests to the rate limits."""
+        if not counts and peer.member.process in self.quotas.reported:
+            return
         self.quotas.apply_counts(
             peer.member.process,
             counts,
--- a/src/currantcart/proxy/streams/config_exchange.py
+++ b/src/currantcart/proxy/streams/config_exchange.py
@@ -68,13 +68,21 @@
     def disseminate(self, source: link.Link | None) -> None:
         """Forwards a version that was just applied.
 
+        A relay forwards what another node of its failure domain has read, as
+        that node has no streams to the others.
+
         Args:
           source: Stream that it was received on; None if it was read from the
             store.
         """
         assert self.peers is not None
         if source is not None and self.is_local(source.peer):
-            return
+            relay = self.peers.relay
+            assert source.peer is not None
+            relays = relay.current(source.peer.failure_domain)
+            if not relay.is_acting or source.peer.instance in relays:
+                return
+            source = None
         for peer in self.peers.by_instance.values():
             if self.is_local(peer.member) or not self.fetches(peer):
                 self.send_to(peer)
--- a/src/currantcart/proxy/streams/config_feed.py
+++ b/src/currantcart/proxy/streams/config_feed.py
@@ -260,6 +260,24 @@
         elif status.version > known.version:
             self.exchange.handle_newer_version(item)
 
+    def handle_row(
+        self, item: link.Link, row: frames.Row, *, is_sender: bool
+    ) -> None:
+        """Compares the version that a relay knows of a process.
+
+        Args:
+          item: Stream of the relay.
+          row: What it knows.
+          is_sender: Whether the process is the relay itself, from which a newer
+            version can be fetched.
+        """
+        known = self.context.freshness
+        if row.version == known.version and item.ready:
+            as_of = item.clock.to_own(item.digest_now) - row.proof_age_ms
+            known.confirm(row.version, min(self.context.now, as_of))
+        elif row.version > known.version and is_sender:
+            self.exchange.handle_newer_version(item)
+
     def handle_config(self, item: link.Link, config: frames.Config) -> None:
         """Applies a configuration that a peer has sent, and forwards it.
 
--- a/src/currantcart/proxy/streams/frames.py
+++ b/src/currantcart/proxy/streams/frames.py
@@ -86,6 +86,7 @@
       age_ms: Time since the sender's start; negative when not given.
       fetches: Whether the sender fetches a configuration that it lacks, and
         answers `Fetch`.
+      relays: Whether the sender can relay statuses, and reads `Digest`.
     """
 
     protocol: int
@@ -94,6 +95,7 @@
     unpacks: bool = False
     age_ms: float = -1.0
     fetches: bool = False
+    relays: bool = False
 
 
 class Status(msgspec.Struct, array_like=True, tag=2):
@@ -112,6 +114,8 @@
         the sender as leaving.
       evacuations: Evacuated failure domains; None if the receiver was sent the
         same ones before.
+      sequence: Number of changes of what `Row` holds, since the sender's start;
+        0 from a node that does not count them.
     """
 
     now_ms: float
@@ -123,6 +127,7 @@
     counts: dict[str, int]
     left: tuple[str, int] | None = None
     evacuations: Evacuations | None = None
+    sequence: int = 0
 
 
 class Config(msgspec.Struct, array_like=True, tag=3):
@@ -262,11 +267,14 @@
     """Admission counts that are sent between two statuses.
 
     Attributes:
-      counts: Requests admitted since the sender's start, by workspace; only
-        expedited workspaces.
+      counts: Requests admitted since the sender's start, by workspace; all that
+        have changed since the last status or `Counts` on the stream if
+        `sequence` is given, else only expedited workspaces.
+      sequence: As in `Status`.
     """
 
     counts: dict[str, int]
+    sequence: int = 0
 
 
 class Packed(msgspec.Struct, array_like=True, tag=11):
@@ -283,6 +291,64 @@
     """Requests the receiver's configuration."""
 
 
+class Row(msgspec.Struct, array_like=True):
+    """What a relay knows of one process.
+
+    Attributes:
+      member: The node.
+      age_ms: Time since the start of its process; infinite while unknown.
+      version: Configuration version that it serves.
+      proof_age_ms: Time since that version was known to be the newest.
+      target: State of its target.
+      counts: Requests admitted since its start, by workspace; only those that
+        have changed since its last row on this stream.
+      sequence: `sequence` of the status that this is taken from.
+      complete: Whether this is its first row on this stream, with all counts.
+      relays: Whether it can relay statuses; one that cannot is told directly.
+      ended: Whether it has sent a leave message.
+      removed: Whether the relay no longer knows the process; the fields from
+        `age_ms` to `counts` are then without meaning.
+    """
+
+    member: Member
+    age_ms: float
+    version: int
+    proof_age_ms: float
+    target: TargetState
+    counts: dict[str, int]
+    sequence: int = 0
+    complete: bool = False
+    relays: bool = True
+    ended: bool = False
+    removed: bool = False
+
+
+class Digest(msgspec.Struct, array_like=True, tag=14):
+    """What a relay knows of one failure domain.
+
+    Attributes:
+      now_ms: Sender's clock.
+      domain: The failure domain.
+      age_ms: Age of the oldest evidence that one of its processes is live;
+        without those in `silent`.
+      rows: Processes that have changed since the last digest on this stream.
+      silent: Processes of which the sender knows no recent evidence.
+      heard_ms: Time since a relay of the failure domain sent what this digest
+        is taken from; 0 if the sender is in it.
+      urgent: Whether it is to be forwarded before the next regular digest.
+      nodes: Nodes that the sender knows, itself included.
+    """
+
+    now_ms: float
+    domain: str
+    age_ms: float
+    rows: list[Row]
+    silent: tuple[str, ...] = ()
+    heard_ms: float = 0.0
+    urgent: bool = False
+    nodes: int = 0
+
+
 Frame = (
     Hello
     | Status
@@ -297,6 +363,7 @@
     | Packed
     | Leave
     | Fetch
+    | Digest
 )
 
 ENCODER = msgspec.msgpack.Encoder()
--- a/src/currantcart/proxy/streams/link.py
+++ b/src/currantcart/proxy/streams/link.py
@@ -41,8 +41,26 @@
 rises: in a burst, most requests would go to the peer that is cut off, until
 its stream is suspect.
 """
+IDLE_STATUS_MS = 3_000.0
+"""Interval of statuses on a stream without calls in a fleet with relays.
+
+A node has a bounded number of such streams, so its statuses do not increase
+with the fleet.
+"""
+CALLS_STATUS_MS = 600.0
+"""The same on a stream with calls, or with calls a short time ago."""
+ACTIVE_MS = 3_000.0
+"""Time for which a stream counts as one with calls after the last one."""
 REASONS = frozenset(
-    {"silent", "closed", "replaced", "started_anew", "stopping"}
+    {
+        "closed",
+        "incomplete",
+        "replaced",
+        "silent",
+        "started_anew",
+        "stopping",
+        "unneeded",
+    }
 )
 WRITE_BYTES_MAX = 8 * 1024 * 1024
 
@@ -80,6 +98,12 @@
         return cls(silent_ms(interval_ms), probe_timeout_ms(interval_ms))
 
 
+IDLE_LIMITS = Limits(
+    silent_ms(IDLE_STATUS_MS), probe_timeout_ms(CALLS_STATUS_MS)
+)
+"""Limits of a stream without calls in a fleet with relays."""
+
+
 class LinkOwner(Protocol):
     """Callbacks of a link to the node that owns it."""
 
@@ -106,6 +130,9 @@
     def handle_fetch(self, link: Link) -> None:
         """Handles a peer's request for the configuration."""
 
+    def handle_digest(self, link: Link, digest: frames.Digest) -> None:
+        """Handles what a relay knows of a failure domain."""
+
     def handle_call_frame(self, link: Link, frame: frames.Frame) -> None:
         """Handles a frame of a call."""
 
@@ -132,6 +159,14 @@
       sent_evacuations: Evacuated failure domains last sent to the peer; None
         before the first, or if the peer is to be sent them again.
       calls: Calls on it by number; their type is up to the owner.
+      relays: Whether the peer reads `Digest`.
+      digest_now: Peer's clock in its last digest.
+      idle: Whether it had no calls for a while, in a fleet with relays; the
+        peer's status is then received less often.
+      opened_at: When a call was opened last.
+      active_since: When `idle` ended last.
+      published_at: When a status was last sent at an interval of its own.
+      unneeded_since: Since when it is not needed; None while it is.
     """
 
     def __init__(
@@ -160,6 +195,13 @@
         self.sent_version = 0
         self.sent_evacuations: frozenset[str] | None = None
         self.fetches = False
+        self.relays = False
+        self.digest_now = 0.0
+        self.idle = False
+        self.opened_at = float("-inf")
+        self.active_since = float("-inf")
+        self.published_at = float("-inf")
+        self.unneeded_since: float | None = None
         self.transport: asyncio.Transport | None = None
         self.writer = framing.FrameWriter()
         self.reader = framing.FrameReader()
@@ -177,6 +219,7 @@
                 unpacks=True,
                 age_ms=self.context.now - self.context.started_at,
                 fetches=True,
+                relays=self.context.settings.exchange.mesh_nodes_max > 0,
             )
         )
 
@@ -184,6 +227,9 @@
         """Sends a frame at the end of this iteration of the event loop."""
         if self.transport is None:
             return
+        if type(frame) is frames.Open:
+            self.opened_at = self.context.now
+            self.set_idle(False, self.opened_at)
         self.writer.add(frame)
         self.flush_soon()
 
@@ -238,6 +284,9 @@
             self.owner.handle_config(self, frame)
         elif isinstance(frame, frames.Counts):
             self.owner.handle_counts(self, frame)
+        elif isinstance(frame, frames.Digest):
+            self.digest_now = frame.now_ms
+            self.owner.handle_digest(self, frame)
         elif isinstance(frame, frames.Leave):
             self.owner.handle_leave(self)
         elif isinstance(frame, frames.Fetch):
@@ -263,6 +312,7 @@
         if crosses_domains and hello.unpacks:
             self.writer.compresses = True
         self.fetches = hello.fetches
+        self.relays = hello.relays
         self.status_now, self.status_at = hello.now_ms, self.context.now
         if hello.age_ms >= 0.0:
             self.peer_started_at = self.context.now - hello.age_ms
@@ -338,14 +388,27 @@
         may be queued for seconds while the opposite direction is clear. The
         peer's echo of a recent status shows that it is not.
         """
-        limit = suspect_ms(self.context.status_interval_ms)
+        interval = self.context.status_interval_ms
+        if self.idle:
+            interval = IDLE_STATUS_MS
+        limit = suspect_ms(interval)
+        # A stream that gets its first call after a while is probed, and is
+        # usable until the probe is late.
+        since = self.active_since
         return (
             self.ready
             and self.transport is not None
-            and now - self.received_at < limit
-            and now - self.echoed_at < limit + self.context.status_interval_ms
+            and now - max(self.received_at, since) < limit
+            and now - max(self.echoed_at, since) < limit + interval
         )
 
+    def set_idle(self, idle: bool, now: float) -> None:
+        """Sets whether statuses are exchanged less often."""
+        if self.idle and not idle:
+            self.active_since = now
+            self.published_at = float("-inf")
+        self.idle = idle
+
     def check(self, now: float, limits: Limits) -> None:
         """Closes the stream if it is silent or a probe has timed out.
 
@@ -353,7 +416,9 @@
           now: Milliseconds of the node's clock.
           limits: Limits of all streams, worked out once for all of them.
         """
-        silent = now - self.received_at > limits.silent_ms
+        silent = (
+            now - max(self.received_at, self.active_since) > limits.silent_ms
+        )
         unanswered = (
             self.probed_at > 0.0 and now - self.probed_at > limits.probe_ms
         )
--- a/src/currantcart/proxy/streams/peer.py
+++ b/src/currantcart/proxy/streams/peer.py
@@ -34,6 +34,10 @@
       version: Configuration version that it serves.
       started_at: Start of its process; negative infinity while unknown.
       ended: Whether it has sent a leave message.
+      sequence: `sequence` of the newest status that was applied, directly or
+        through a relay; 0 before the first.
+      relays: Whether it can relay statuses, as far as is known.
+      state: State of its target that was reported last.
     """
 
     member: frames.Member
@@ -47,6 +51,11 @@
     version: int = 0
     started_at: float = float("-inf")
     ended: bool = False
+    sequence: int = 0
+    relays: bool = True
+    state: frames.TargetState = dataclasses.field(
+        default_factory=frames.TargetState
+    )
 
     def links(self) -> Iterable[link.Link]:
         """Returns the open streams."""
@@ -66,3 +75,6 @@
         self.version = 0
         self.started_at = float("-inf")
         self.ended = False
+        self.sequence = 0
+        self.relays = True
+        self.state = frames.TargetState()
--- a/src/currantcart/proxy/streams/peers.py
+++ b/src/currantcart/proxy/streams/peers.py
@@ -6,11 +6,18 @@
 import collections
 from collections.abc import Callable, Iterable
 
+from currantcart.fleet import digest as digest_module
 from currantcart.proxy import context as proxy_context
 from currantcart.proxy import settings as proxy_settings
-from currantcart.proxy.streams import frames, link, publisher, reachability
+from currantcart.proxy.streams import (
+    frames,
+    link,
+    publisher,
+    reachability,
+)
 from currantcart.proxy.streams import peer as peer_module
-from currantcart.routing import picker
+from currantcart.proxy.streams import relay as relay_module
+from currantcart.routing import picker, subset
 
 DIAL_SECONDS_MAX = 0.7
 REDIAL_MS = 300.0
@@ -23,6 +30,10 @@
 They close after more than a second of silence, so each tick would be more
 often than needed, and there are two for each peer.
 """
+UNNEEDED_MS = 5_000.0
+"""Time after which a stream without calls that is not needed is closed."""
+SELECT_TICKS = 4
+"""Ticks between two selections of the streams to keep, without a change."""
 
 
 class Peers:
@@ -40,6 +51,13 @@
       leaving_targets: Id and start time of targets that were reported as
         leaving, by instance.
       publisher: Sends this node's status periodically.
+      relay: Digests, and whether the fleet uses them.
+      dialled: Open streams that this node has dialled.
+      ranked: Targets of each service in other nodes, in the own failure domain
+        and in the others, as this node prefers them; empty after a change.
+      told: Peers that get each status and all counts, in a fleet with relays.
+      wanted: Peers to which streams are kept in a fleet with relays.
+      selected: Whether `told` and `wanted` are up to date.
       ticks: Number of ticks since the start.
     """
 
@@ -55,6 +73,10 @@
         on_lost: Callable[[link.Link], None],
         on_gone: Callable[[peer_module.Peer], None],
         on_counts: Callable[[peer_module.Peer, dict[str, int]], None],
+        on_row: Callable[[peer_module.Peer, link.Link, frames.Row], None],
+        own_status: Callable[[bool], frames.Status],
+        reported_counts: Callable[[str], dict[str, int]],
+        counts: Callable[[link.Link], frames.Counts],
         expedited: Callable[[], dict[str, int]],
     ) -> None:
         settings = context.settings
@@ -67,6 +89,7 @@
         self.on_lost = on_lost
         self.on_gone = on_gone
         self.on_counts = on_counts
+        self.on_row = on_row
         self.member = frames.Member(
             instance=settings.instance,
             process=context.process,
@@ -90,19 +113,45 @@
             by_service=self.by_service,
             link_to=self.link_to,
         )
+        self.dialled: set[link.Link] = set()
+        self.ranked: dict[
+            str, tuple[list[picker.Target], list[picker.Target]]
+        ] = {}
+        self.told: list[peer_module.Peer] = []
+        self.wanted: dict[str, peer_module.Peer] = {}
+        self.selected = False
+        self.relay = relay_module.Relay(
+            context,
+            member=self.member,
+            by_instance=self.by_instance,
+            own_status=own_status,
+            reported_counts=reported_counts,
+            identify=self.identify_peer,
+            on_row=self.handle_row,
+        )
         self.publisher = publisher.Publisher(
             context,
             introduced_links=self.introduced_links,
+            told_links=self.told_links,
+            dialled_links=lambda: list(self.dialled),
+            relay=self.relay,
             peer_count=lambda: len(self.by_instance),
             status=status,
+            counts=counts,
             expedited=expedited,
         )
 
     # Members.
 
-    def add_member(self, member: frames.Member) -> peer_module.Peer | None:
+    def add_member(
+        self, member: frames.Member, *, dials: bool = True
+    ) -> peer_module.Peer | None:
         """Adds a peer, or replaces one whose description has changed.
 
+        Args:
+          member: The peer's description of itself.
+          dials: Whether it is dialled at once if all peers are.
+
         Returns:
           The peer; None if the member is this node.
         """
@@ -117,6 +166,8 @@
         peer = peer_module.Peer(member, target, received_at=self.context.now)
         self.by_instance[member.instance] = peer
         self.by_service.setdefault(member.service, []).append(target)
+        self.relay.add_name(member)
+        self.invalidate_selection()
         self.context.log.event(
             "peer_known",
             peer=member.instance,
@@ -124,7 +175,8 @@
             service=member.service,
             peers=len(self.by_instance),
         )
-        self.dial(peer)
+        if dials:
+            self.dial_member(peer)
         return peer
 
     def identify_peer(
@@ -150,20 +202,42 @@
             if other is not item and other.peer == peer.member:
                 other.abort("started_anew")
         self.on_gone(peer)
+        self.relay.remove_process(peer.member)
         self.by_service[member.service].remove(peer.target)
         peer.restart(member)
         self.by_service[member.service].append(peer.target)
         self.reachability.invalidate()
+        self.invalidate_selection()
         self.context.log.event(
             "peer_restarted", peer=member.instance, process=member.process
         )
-        self.dial(peer)
+        self.dial_member(peer)
         return peer
 
+    def dial_member(self, peer: peer_module.Peer) -> None:
+        """Dials a new peer unless only selected peers are dialled."""
+        nodes = len(self.by_instance) + 1
+        nodes_max = self.context.settings.exchange.mesh_nodes_max
+        if not self.relay.enabled and not 0 < nodes_max < nodes:
+            self.dial(peer)
+
+    def invalidate_selection(self, *, members: bool = True) -> None:
+        """Has the streams to keep selected again at the next tick.
+
+        Args:
+          members: Whether peers or their targets have changed.
+        """
+        self.selected = False
+        if members:
+            self.ranked.clear()
+
     def drop(self, peer: peer_module.Peer, reason: str) -> None:
         """Removes a peer and closes its streams."""
-        self.by_instance.pop(peer.member.instance, None)
+        if self.by_instance.pop(peer.member.instance, None) is not None:
+            self.relay.remove_name(peer.member)
+        self.relay.remove_process(peer.member)
         self.by_service[peer.member.service].remove(peer.target)
+        self.invalidate_selection()
         if peer.dialling is not None:
             peer.dialling.cancel()
         for item in peer.links():
@@ -191,7 +265,12 @@
         for member in listed.values():
             known = self.by_instance.get(member.instance)
             if known is None or not self.is_alive(known):
-                self.add_member(member)
+                # All are added before any is dialled: a node that starts in a
+                # large fleet must not dial all of it.
+                self.add_member(member, dials=False)
+        for peer in self.by_instance.values():
+            if peer.outgoing is None and self.context.now >= peer.dial_after:
+                self.dial_member(peer)
         now = self.context.now
         for peer in list(self.by_instance.values()):
             gone = now - peer.received_at > DROP_MS and not self.is_alive(peer)
@@ -259,6 +338,8 @@
                     *proxy_settings.split_address(peer.member.address),
                 )
             peer.outgoing = opened
+            if opened.transport is not None:
+                self.dialled.add(opened)
         except (OSError, TimeoutError):
             pass
         finally:
@@ -278,6 +359,10 @@
         if peer is None:
             item.abort("own_address")
             return
+        if not item.relays:
+            peer.relays = False
+            self.relay.record(peer, {})
+            self.invalidate_selection(members=False)
         peer.received_at = self.context.now
         peer.started_at = item.peer_started_at
         if item.dialled:
@@ -288,6 +373,11 @@
             if stale is not None and stale is not item:
                 stale.abort("replaced")
         item.send(self.status(item))
+        if self.relay.enabled:
+            # Streams that are opened together must not all report together.
+            item.published_at = self.context.now - (
+                link.IDLE_STATUS_MS * self.context.rng.random()
+            )
 
     def drop_predecessors(
         self, peer: peer_module.Peer, item: link.Link
@@ -306,6 +396,9 @@
         """Detaches a lost stream from its peer."""
         self.reachability.invalidate()
         self.accepted.discard(item)
+        self.dialled.discard(item)
+        self.relay.forget_link(item)
+        self.invalidate_selection(members=False)
         for peer in self.by_instance.values():
             if peer.outgoing is item:
                 peer.outgoing = None
@@ -319,22 +412,86 @@
         peer = self.peer_of(item)
         if peer is None:
             return
-        peer.received_at = self.context.now
+        peer.received_at = self.sent_at(item, status.now_ms)
         peer.has_reported = True
-        peer.version = status.version
-        self.update_target(peer.target, status.target)
+        if status.sequence and status.sequence < peer.sequence:
+            # A relay has delivered a newer one.
+            status.counts = {}
+        else:
+            self.handle_newest(peer, status)
         self.on_status(peer, item, status)
+        self.relay.handle_status(peer)
         if not item.dialled:
             # The dialler sets the interval: its status is answered at once, and
             # both sides measure the round-trip time by it.
             item.send(self.status(item))
 
+    def handle_newest(
+        self, peer: peer_module.Peer, status: frames.Status
+    ) -> None:
+        """Applies the newest status of a peer."""
+        before = peer.state
+        is_urgent = peer.version != status.version or (
+            (before.target_id, before.born, before.ready, before.leaving)
+            != (
+                status.target.target_id,
+                status.target.born,
+                status.target.ready,
+                status.target.leaving,
+            )
+        )
+        is_newer = status.sequence > peer.sequence
+        peer.version = status.version
+        peer.sequence = status.sequence
+        peer.state = status.target
+        self.update_target(peer.target, status.target)
+        if is_newer:
+            self.relay.record(peer, status.counts, urgent=is_urgent)
+
+    def sent_at(self, item: link.Link, now_ms: float) -> float:
+        """Returns when a frame was sent that was received now.
+
+        A relay that was paused must not take what it reads late for recent.
+
+        Args:
+          item: Stream that it was received on.
+          now_ms: Sender's clock.
+        """
+        now = self.context.now
+        if not self.relay.enabled or not item.ready:
+            return now
+        return min(now, item.clock.to_own(now_ms))
+
+    def handle_row(
+        self, peer: peer_module.Peer, item: link.Link, row: frames.Row
+    ) -> None:
+        """Applies what a relay knows of a peer.
+
+        The load of a target on a stream of this node is known from there.
+        """
+        peer.state = row.target
+        target = peer.target
+        has_changed = (target.target_id, target.ready) != (
+            row.target.target_id,
+            row.target.ready,
+        )
+        if has_changed or row.target.leaving or peer.outgoing is None:
+            self.update_target(target, row.target)
+        self.on_row(peer, item, row)
+
+    def handle_digest(self, item: link.Link, digest: frames.Digest) -> None:
+        """Applies what a relay knows of a failure domain."""
+        sender = self.peer_of(item)
+        if sender is not None:
+            self.relay.handle_digest(item, sender, digest)
+
     def update_target(
         self, known: picker.Target, state: frames.TargetState
     ) -> None:
         """Applies a target's reported state."""
         if known.target_id != state.target_id or known.ready != state.ready:
             self.reachability.invalidate()
+            self.invalidate_selection(members=False)
             self.context.log.event(
                 "target_state",
                 peer=known.instance,
@@ -364,8 +521,14 @@
     def handle_counts(self, item: link.Link, counts: frames.Counts) -> None:
         """Passes on a peer's counts of admitted requests."""
         peer = self.peer_of(item)
-        if peer is not None:
-            self.on_counts(peer, counts.counts)
+        if peer is None or (
+            counts.sequence and counts.sequence < peer.sequence
+        ):
+            return
+        self.on_counts(peer, counts.counts)
+        if counts.sequence:
+            peer.sequence = counts.sequence
+            self.relay.record(peer, counts.counts, urgent=True)
 
     def handle_leave(self, item: link.Link) -> None:
         """Marks a peer as ended on its leave message."""
@@ -373,6 +536,7 @@
         if peer is not None and not peer.ended:
             peer.ended = True
             self.context.log.event("peer_ended", peer=peer.member.instance)
+            self.relay.record(peer, {}, urgent=True)
 
     def announce_leave(self) -> None:
         """Sends a leave message to all peers."""
@@ -388,7 +552,14 @@
         peer = self.by_instance.get(instance)
         if peer is None or peer.outgoing is None:
             return None
-        return peer.outgoing if peer.outgoing.usable(self.context.now) else None
+        now = self.context.now
+        if (
+            peer.outgoing.idle
+            and now - peer.received_at >= digest_module.PEER_SILENT_MS
+        ):
+            # Its last status is from a while ago, and no relay vouches for it.
+            return None
+        return peer.outgoing if peer.outgoing.usable(now) else None
 
     def introduced_links(self) -> list[link.Link]:
         """Returns one stream for each peer that has introduced itself."""
@@ -401,12 +572,44 @@
         """Sends this node's status to all peers now."""
         self.publisher.publish()
 
-    def tick(self) -> None:
-        """Sends what is due, and probes, closes or dials streams."""
+    def told_links(self) -> list[link.Link]:
+        """Returns one stream to each peer that gets each status."""
+        streams = [peer.outgoing or peer.incoming for peer in self.told]
+        return [item for item in streams if item and item.peer]
+
+    def tick(self, *, pressing: bool = False) -> None:
+        """Sends what is due, and probes, closes or dials streams.
+
+        Args:
+          pressing: Whether a workspace is near its rate limit.
+        """
         now = self.context.now
         limits = link.Limits.of(self.context.status_interval_ms)
         self.ticks += 1
         checks_all = self.ticks % CHECK_TICKS == 0
+        if self.relay.update_mode(len(self.by_instance) + 1):
+            self.invalidate_selection()
+            for item in self.dialled:
+                item.set_idle(False, now)
+                item.unneeded_since = None
+        if self.relay.enabled:
+            if not self.selected or self.ticks % SELECT_TICKS == 0:
+                self.select(now)
+            self.tick_selected(now, limits)
+        else:
+            self.tick_mesh(now, limits, checks_all=checks_all)
+        if checks_all:
+            for item in list(self.accepted):
+                is_idle = self.relay.enabled and not item.calls
+                item.check(now, link.IDLE_LIMITS if is_idle else limits)
+        if self.relay.tick(pressing=pressing):
+            self.invalidate_selection(members=False)
+        self.publisher.tick(now)
+
+    def tick_mesh(
+        self, now: float, limits: link.Limits, *, checks_all: bool
+    ) -> None:
+        """Probes, closes or dials the streams to all peers."""
         for peer in list(self.by_instance.values()):
             outgoing = peer.outgoing
             if outgoing is None:
@@ -416,10 +619,83 @@
                 self.check_awaited(outgoing, now, limits)
             elif checks_all:
                 outgoing.check(now, limits)
-        if checks_all:
-            for item in list(self.accepted):
-                item.check(now, limits)
-        self.publisher.tick(now)
+
+    def tick_selected(self, now: float, limits: link.Limits) -> None:
+        """Probes, closes or dials the streams of a node in a large fleet."""
+        for peer in list(self.wanted.values()):
+            if peer.outgoing is None and now >= peer.dial_after:
+                self.dial(peer)
+        told = {peer.member.instance for peer in self.told}
+        for item in list(self.dialled):
+            name = item.peer.instance if item.peer else ""
+            is_active = (
+                bool(item.calls) or now - item.opened_at < link.ACTIVE_MS
+            )
+            item.set_idle(not is_active and name not in told, now)
+            if item.peer is None or name in self.wanted or is_active:
+                item.unneeded_since = None
+            elif item.unneeded_since is None:
+                item.unneeded_since = now
+            elif now - item.unneeded_since > UNNEEDED_MS:
+                item.abort("unneeded")
+                continue
+            own_limits = link.IDLE_LIMITS if item.idle else limits
+            if item.is_awaited:
+                self.check_awaited(item, now, own_limits)
+            else:
+                item.check(now, own_limits)
+
+    def select(self, now: float) -> None:
+        """Selects the peers to which streams are kept."""
+        self.selected = True
+        told = self.relay.told()
+        self.told = [
+            self.by_instance[name] for name in told if name in self.by_instance
+        ]
+        wanted = {peer.member.instance: peer for peer in self.told}
+        count = self.context.settings.exchange.targets_per_service
+        for service in self.by_service:
+            near, far = self.ranked_targets(service)
+            for target in subset.select(
+                near,
+                far,
+                count=count,
+                is_usable=lambda target: self.is_target_usable(target, now),
+            ):
+                wanted[target.instance] = self.by_instance[target.instance]
+        self.wanted = wanted
+
+    def ranked_targets(
+        self, service: str
+    ) -> tuple[list[picker.Target], list[picker.Target]]:
+        """Returns the targets of other nodes, near and far, as preferred."""
+        found = self.ranked.get(service)
+        if found is None:
+            own = self.member.failure_domain
+            ranked = subset.ranked(
+                self.member.instance,
+                (
+                    target
+                    for target in self.by_service[service]
+                    if target is not self.local_target
+                ),
+            )
+            found = (
+                [item for item in ranked if item.failure_domain == own],
+                [item for item in ranked if item.failure_domain != own],
+            )
+            self.ranked[service] = found
+        return found
+
+    def is_target_usable(self, target: picker.Target, now: float) -> bool:
+        """Returns whether requests can be placed on a peer's target."""
+        peer = self.by_instance[target.instance]
+        return (
+            target.ready
+            and target.closed_until <= now
+            and target.failure_domain not in self.context.evacuations.domains
+            and now - peer.received_at < digest_module.PEER_SILENT_MS
+        )
 
     def check_awaited(
         self, item: link.Link, now: float, limits: link.Limits
--- a/src/currantcart/proxy/streams/publisher.py
+++ b/src/currantcart/proxy/streams/publisher.py
@@ -4,8 +4,10 @@
 
 from collections.abc import Callable, Iterable
 
+from currantcart.fleet import digest
 from currantcart.proxy import context as proxy_context
 from currantcart.proxy.streams import frames, framing, link
+from currantcart.proxy.streams import relay as relay_module
 
 STATUS_MS = 400.0
 STATUS_MS_PER_PEER = 6.0
@@ -44,8 +46,12 @@
         context: proxy_context.Context,
         *,
         introduced_links: Callable[[], Iterable[link.Link]],
+        told_links: Callable[[], Iterable[link.Link]],
+        dialled_links: Callable[[], Iterable[link.Link]],
+        relay: relay_module.Relay,
         peer_count: Callable[[], int],
         status: Callable[[link.Link], frames.Status],
+        counts: Callable[[link.Link], frames.Counts],
         expedited: Callable[[], dict[str, int]],
     ) -> None:
         """Initializes the publisher.
@@ -53,14 +59,23 @@
         Args:
           context: Shared state of the node.
           introduced_links: Returns one stream to each peer.
+          told_links: In a fleet with relays, returns one stream to each peer
+            that gets all statuses and counts.
+          dialled_links: Returns the streams that this node has dialled.
+          relay: Says whether there are relays, and whether this node is one.
           peer_count: Returns how many peers are known.
           status: Returns the status for a stream.
+          counts: Returns all counts that a stream lacks.
           expedited: Returns the counts to send before the next status.
         """
         self.context = context
         self.introduced_links = introduced_links
+        self.told_links = told_links
+        self.dialled_links = dialled_links
+        self.relay = relay
         self.peer_count = peer_count
         self.status = status
+        self.counts = counts
         self.expedited = expedited
         self.published_at = 0.0
         self.expedited_at = 0.0
@@ -68,22 +83,47 @@
 
     def publish(self) -> None:
         """Sends this node's status to all peers now."""
-        self.published_at = self.context.now
+        now = self.published_at = self.context.now
         for item in self.introduced_links():
+            item.published_at = now
             item.send_status(self.status(item))
 
     def tick(self, now: float) -> None:
         """Sends the status and the expedited counts if they are due."""
         count = self.peer_count()
-        self.context.status_interval_ms = status_interval_ms(count)
-        if now - self.published_at >= self.context.status_interval_ms:
-            self.publish()
-        if now - self.expedited_at >= counts_interval_ms(count):
+        direct = self.context.direct_interval_ms = status_interval_ms(count)
+        if self.relay.enabled:
+            self.context.status_interval_ms = link.CALLS_STATUS_MS
+            self.publish_due(now)
+            counts_ms = COUNTS_MS
+        else:
+            self.context.status_interval_ms = direct
+            if now - self.published_at >= direct:
+                self.publish()
+            counts_ms = counts_interval_ms(count)
+        if now - self.expedited_at >= counts_ms:
             self.expedited_at = now
             self.publish_counts(self.expedited())
 
+    def publish_due(self, now: float) -> None:
+        """Sends the status on each stream at the stream's own interval."""
+        told = set(self.told_links())
+        for item in told:
+            if now - item.published_at >= digest.STATUS_MS:
+                item.published_at = now
+                item.send_status(self.status(item))
+        for item in self.dialled_links():
+            if item.peer is None or item in told:
+                continue
+            interval = link.CALLS_STATUS_MS
+            if item.idle:
+                interval = link.IDLE_STATUS_MS
+            if now - item.published_at >= interval:
+                item.published_at = now
+                item.send_status(self.status(item))
+
     def publish_counts(self, counts: dict[str, int]) -> None:
-        """Sends the counts that have changed to all peers.
+        """Sends the counts if expedited ones have changed.
 
         A peer that is introduced later gets all counts with its first status.
         """
@@ -95,6 +135,29 @@
         if not changed:
             return
         self.expedited_counts.update(changed)
+        if self.context.settings.exchange.mesh_nodes_max:
+            self.publish_unsent_counts()
+            return
         encoded = framing.encode_frame(frames.Counts(changed))
         for item in self.introduced_links():
             item.send_encoded(encoded)
+
+    def publish_unsent_counts(self) -> None:
+        """Sends all counts that the peers lack.
+
+        What a relay passes on has to be complete as of its sequence number.
+        A relay sends its own counts in its digests.
+        """
+        items = self.introduced_links()
+        if self.relay.enabled:
+            items = self.told_links()
+            if self.relay.is_acting:
+                self.relay.urgent = True
+                items = [item for item in items if not item.relays]
+        encoded: dict[int, bytes] = {}
+        for item in items:
+            cursor = item.sent_counts
+            counts = self.counts(item)
+            if cursor not in encoded:
+                encoded[cursor] = framing.encode_frame(counts)
+            item.send_encoded(encoded[cursor])
--- a/src/currantcart/telemetry/definitions.py
+++ b/src/currantcart/telemetry/definitions.py
@@ -34,6 +34,10 @@
     "callers_closed": ("Idle connections closed for others", ["cause"]),
     "store_calls": ("Calls to the store, by result", ["call", "result"]),
     "links_lost": ("Streams to peers that were lost", ["reason"]),
+    "digests": (
+        "Digests of relays: received, or streams that they were sent on",
+        ["direction"],
+    ),
 }
 HISTOGRAMS: dict[str, tuple[str, list[str]]] = {
     "request_seconds": (
@@ -42,6 +46,10 @@
     ),
     "queue_seconds": ("Wait for a slot beside the target", []),
     "target_seconds": ("From handing over to the target's answer", []),
+    "digest_age_seconds": (
+        "Age of the oldest evidence of live nodes in a digest",
+        [],
+    ),
 }
 GAUGES = {
     "config_version": "Configuration version in force",
@@ -49,6 +57,8 @@
     "domains_evacuated": "Failure domains whose targets get no requests",
     "peers": "Peers known",
     "peers_silent_ratio": "Part of the fleet that is not heard",
+    "streams": "Open streams with peers",
+    "relaying": "1 while the node relays statuses, else 0",
     "calls": "Requests on their way",
     "caller_connections": "Connections of callers that are open",
     "running": "Requests at the target",
--- a/tests/fakes/mesh.py
+++ b/tests/fakes/mesh.py
@@ -231,10 +231,12 @@
       lines: Log lines of the nodes.
       starts: Number of node processes started.
       clock: Clock of all nodes.
+      exchange: Setting `exchange` of nodes that are added.
     """
 
     def __init__(self, loop: fake_loop.MemoryLoop) -> None:
         self.loop = loop
+        self.exchange = proxy_settings.Exchange()
         self.store = leased.FakeLeasedStore()
         self.places: dict[str, Place] = {}
         self.lines: list[str] = []
@@ -266,6 +268,7 @@
             ),
             store="10.9.9.9:1",
             first_start=True,
+            exchange=self.exchange,
         )
 
     async def add(
