--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -151,7 +151,6 @@
                 process, {}
             ),
             counts=self.statuses.counts_for,
-            expedited=self.quotas.expedited,
         )
         self.silence = silence.SilenceDetector(
             context,
@@ -369,12 +368,12 @@
         if is_overload_changed or self.is_change_unpublished():
             self.peers.publish()
         self.outbound.refresh_local_target()
-        pressing = bool(self.quotas.expedited())
-        self.peers.tick(pressing=pressing)
+        expedited = self.quotas.expedited()
+        self.peers.tick(expedited)
         self.feed.tick()
         self.outbound.retries.record_fleet_size()
         now = self.context.now
-        self.update_quotas(now, pressing=pressing)
+        self.update_quotas(now, pressing=bool(expedited))
         if self.ticks % SWEEP_TICKS == 0:
             self.callers.bound.limit = connections.caller_limit(
                 descriptors=self.context.settings.descriptors,
--- a/src/currantcart/proxy/streams/peers.py
+++ b/src/currantcart/proxy/streams/peers.py
@@ -77,7 +77,6 @@
         own_status: Callable[[bool], frames.Status],
         reported_counts: Callable[[str], dict[str, int]],
         counts: Callable[[link.Link], frames.Counts],
-        expedited: Callable[[], dict[str, int]],
     ) -> None:
         settings = context.settings
         self.context = context
@@ -138,7 +137,6 @@
             peer_count=lambda: len(self.by_instance),
             status=status,
             counts=counts,
-            expedited=expedited,
         )
 
     # Members.
@@ -577,11 +575,12 @@
         streams = [peer.outgoing or peer.incoming for peer in self.told]
         return [item for item in streams if item and item.peer]
 
-    def tick(self, *, pressing: bool = False) -> None:
+    def tick(self, expedited: dict[str, int]) -> None:
         """Sends what is due, and probes, closes or dials streams.
 
         Args:
-          pressing: Whether a workspace is near its rate limit.
+          expedited: Counts to report at once, by workspace; empty while none
+            is near its rate limit.
         """
         now = self.context.now
         limits = link.Limits.of(self.context.status_interval_ms)
@@ -595,16 +594,19 @@
         if self.relay.enabled:
             if not self.selected or self.ticks % SELECT_TICKS == 0:
                 self.select(now)
-            self.tick_selected(now, limits)
+                for peer in list(self.wanted.values()):
+                    if peer.outgoing is None and now >= peer.dial_after:
+                        self.dial(peer)
+            self.tick_selected(now, limits, checks_all=checks_all)
         else:
             self.tick_mesh(now, limits, checks_all=checks_all)
         if checks_all:
             for item in list(self.accepted):
                 is_idle = self.relay.enabled and not item.calls
                 item.check(now, link.IDLE_LIMITS if is_idle else limits)
-        if self.relay.tick(pressing=pressing):
+        if self.relay.tick(pressing=bool(expedited)):
             self.invalidate_selection(members=False)
-        self.publisher.tick(now)
+        self.publisher.tick(now, expedited)
 
     def tick_mesh(
         self, now: float, limits: link.Limits, *, checks_all: bool
@@ -620,30 +622,38 @@
             elif checks_all:
                 outgoing.check(now, limits)
 
-    def tick_selected(self, now: float, limits: link.Limits) -> None:
+    def tick_selected(
+        self, now: float, limits: link.Limits, *, checks_all: bool
+    ) -> None:
         """Probes, closes or dials the streams of a node in a large fleet."""
-        for peer in list(self.wanted.values()):
-            if peer.outgoing is None and now >= peer.dial_after:
-                self.dial(peer)
+        if checks_all:
+            self.classify(now)
+        for item in list(self.dialled):
+            # Most streams have nothing to check at most ticks.
+            if item.calls or item.probed_at or item.logged_unresponsive:
+                self.check_awaited(
+                    item, now, link.IDLE_LIMITS if item.idle else limits
+                )
+            elif checks_all:
+                item.check(now, link.IDLE_LIMITS if item.idle else limits)
+
+    def classify(self, now: float) -> None:
+        """Finds out which streams have no calls, and closes unneeded ones."""
         told = {peer.member.instance for peer in self.told}
         for item in list(self.dialled):
-            name = item.peer.instance if item.peer else ""
+            if item.peer is None:
+                continue
+            name = item.peer.instance
             is_active = (
                 bool(item.calls) or now - item.opened_at < link.ACTIVE_MS
             )
             item.set_idle(not is_active and name not in told, now)
-            if item.peer is None or name in self.wanted or is_active:
+            if name in self.wanted or is_active:
                 item.unneeded_since = None
             elif item.unneeded_since is None:
                 item.unneeded_since = now
             elif now - item.unneeded_since > UNNEEDED_MS:
                 item.abort("unneeded")
-                continue
-            own_limits = link.IDLE_LIMITS if item.idle else limits
-            if item.is_awaited:
-                self.check_awaited(item, now, own_limits)
-            else:
-                item.check(now, own_limits)
 
     def select(self, now: float) -> None:
         """Selects the peers to which streams are kept."""
--- a/src/currantcart/proxy/streams/publisher.py
+++ b/src/currantcart/proxy/streams/publisher.py
@@ -20,6 +20,8 @@
 Between two updates each node admits on its own, so a workspace near its limit
 may exceed it by what arrives in the meantime.
 """
+CALLS_TICKS = 4
+"""Ticks between two checks of which streams with calls need a status."""
 
 
 def status_interval_ms(peers: int) -> float:
@@ -36,6 +38,7 @@
     """Publishes this node's status, and between statuses expedited counts.
 
     Attributes:
+      ticks: Ticks in a fleet with relays.
       published_at: When the last status was sent.
       expedited_at: When expedited counts were last due.
       expedited_counts: Expedited counts that were last sent.
@@ -52,7 +55,6 @@
         peer_count: Callable[[], int],
         status: Callable[[link.Link], frames.Status],
         counts: Callable[[link.Link], frames.Counts],
-        expedited: Callable[[], dict[str, int]],
     ) -> None:
         """Initializes the publisher.
 
@@ -66,7 +68,6 @@
           peer_count: Returns how many peers are known.
           status: Returns the status for a stream.
           counts: Returns all counts that a stream lacks.
-          expedited: Returns the counts to send before the next status.
         """
         self.context = context
         self.introduced_links = introduced_links
@@ -76,7 +77,7 @@
         self.peer_count = peer_count
         self.status = status
         self.counts = counts
-        self.expedited = expedited
+        self.ticks = 0
         self.published_at = 0.0
         self.expedited_at = 0.0
         self.expedited_counts: dict[str, int] = {}
@@ -88,8 +89,13 @@
             item.published_at = now
             item.send_status(self.status(item))
 
-    def tick(self, now: float) -> None:
-        """Sends the status and the expedited counts if they are due."""
+    def tick(self, now: float, expedited: dict[str, int]) -> None:
+        """Sends the status and the expedited counts if they are due.
+
+        Args:
+          now: Milliseconds of the node's clock.
+          expedited: Counts to send before the next status, by workspace.
+        """
         count = self.peer_count()
         direct = self.context.direct_interval_ms = status_interval_ms(count)
         if self.relay.enabled:
@@ -103,7 +109,7 @@
             counts_ms = counts_interval_ms(count)
         if now - self.expedited_at >= counts_ms:
             self.expedited_at = now
-            self.publish_counts(self.expedited())
+            self.publish_counts(expedited)
 
     def publish_due(self, now: float) -> None:
         """Sends the status on each stream at the stream's own interval."""
@@ -112,6 +118,9 @@
             if now - item.published_at >= digest.STATUS_MS:
                 item.published_at = now
                 item.send_status(self.status(item))
+        self.ticks += 1
+        if self.ticks % CALLS_TICKS:
+            return
         for item in self.dialled_links():
             if item.peer is None or item in told:
                 continue
@@ -152,7 +161,7 @@
         if self.relay.enabled:
             items = self.told_links()
             if self.relay.is_acting:
-                self.relay.urgent = True
+                self.relay.urgent.add(self.context.settings.failure_domain)
                 items = [item for item in items if not item.relays]
         encoded: dict[int, bytes] = {}
         for item in items:
--- a/src/currantcart/proxy/streams/relay.py
+++ b/src/currantcart/proxy/streams/relay.py
@@ -39,6 +39,10 @@
 """Time for which a fleet has to be small before a node uses the full mesh."""
 LARGE_MS = 1_000.0
 """Time for which a relay's report of a large fleet holds."""
+JUDGE_TICKS = 2
+"""Ticks between two selections of relays."""
+SHARE_TICKS = 4
+"""Ticks between two counts of the silent nodes, while no rate is near."""
 EXPIRE_TICKS = 200
 
 
@@ -102,8 +106,9 @@
         received on the stream; the sender vouches for all that it does not
         list as silent.
       table: What this node relays; None while it is no relay.
-      cursors: Sequence number of the table at the last digest on each stream.
-      urgent: Whether the next digests are sent at the next tick.
+      cursors: Sequence number of the table at the last digest of each failure
+        domain on each stream.
+      urgent: Failure domains whose digests are sent at the next tick.
       sent_at: When digests were sent last.
       ticked_at: When the last tick took place.
       hold: Ticks for which silence is not judged.
@@ -155,8 +160,8 @@
             link.Link, dict[str, dict[str, peer_module.Peer]]
         ] = {}
         self.table: digest_module.Table[Known] | None = None
-        self.cursors: dict[link.Link, int] = {}
-        self.urgent = False
+        self.cursors: dict[link.Link, dict[str, int]] = {}
+        self.urgent: set[str] = set()
         self.sent_at = float("-inf")
         self.ticked_at = context.now
         self.ticks = 0
@@ -266,8 +271,10 @@
         self.hold = max(0, self.hold - 1)
         if self.hold:
             return False
-        changed = self.update_relays(now)
-        if self.enabled:
+        changed = False
+        if self.ticks % JUDGE_TICKS == 0:
+            changed = self.update_relays(now)
+        if self.enabled and (pressing or self.ticks % SHARE_TICKS == 0):
             self.share = self.silent_share(now, pressing=pressing)
         if self.table is not None:
             self.send_due(self.table, now)
@@ -328,7 +335,7 @@
             if peer.has_reported:
                 self.record(peer, self.reported_counts(peer.member.process))
         self.record_own(self.table, complete=True)
-        self.urgent = True
+        self.urgent = set(self.names)
 
     def silent_share(self, now: float, *, pressing: bool) -> float:
         """Returns the share of the fleet that is silent, 0 to 1."""
@@ -374,8 +381,9 @@
         """
         if self.table is None:
             return
-        self.urgent = self.urgent or urgent
         member = peer.member
+        if urgent:
+            self.urgent.add(member.failure_domain)
         self.table.record(
             member.process, member.failure_domain, known_of(peer), counts
         )
@@ -420,34 +428,39 @@
 
     def send_due(self, table: digest_module.Table[Known], now: float) -> None:
         """Sends the digests that are due, and all rows on new streams."""
-        urgent = self.urgent
-        due = urgent or now - self.sent_at >= digest_module.DIGEST_MS
-        items = [
-            item for item in self.audience() if due or item not in self.cursors
-        ]
-        if not items:
-            return
-        if due:
-            self.sent_at, self.urgent = now, False
-        self.record_own(table)
-        encoded: dict[tuple[bool, int], bytes] = {}
         own = self.member.failure_domain
-        for item in items:
+        urgent, self.urgent = self.urgent, set()
+        is_regular = now - self.sent_at >= digest_module.DIGEST_MS
+        if is_regular:
+            self.sent_at = now
+        due = set(self.names) if is_regular else urgent
+        encoded: dict[tuple[str, int], bytes] = {}
+        recorded = False
+        for item in self.audience():
             assert item.peer is not None
-            key = (
-                item.peer.failure_domain == own,
-                self.cursors.get(item, 0),
-            )
-            if key not in encoded:
-                domains = self.names if key[0] else (own,)
-                encoded[key] = b"".join(
-                    framing.encode_frame(
-                        self.digest(table, domain, key[1], now, urgent=urgent)
+            domains: Iterable[str] = due
+            cursors = self.cursors.get(item)
+            if cursors is None:
+                cursors = self.cursors[item] = {}
+                domains = self.names
+            if item.peer.failure_domain != own:
+                domains = {own}.intersection(domains)
+            if not domains:
+                continue
+            if not recorded:
+                recorded = True
+                self.record_own(table)
+            for domain in domains:
+                cursor = cursors.get(domain, 0)
+                key = (domain, cursor)
+                if key not in encoded:
+                    encoded[key] = framing.encode_frame(
+                        self.digest(
+                            table, domain, cursor, now, urgent=domain in urgent
+                        )
                     )
-                    for domain in domains
-                )
-            item.send_encoded(encoded[key])
-            self.cursors[item] = table.sequence
+                item.send_encoded(encoded[key])
+                cursors[domain] = table.sequence
             self.context.counts.add("digests", "sent")
 
     def digest(
@@ -573,8 +586,10 @@
                 and peer.member.process == process
             ):
                 peer.received_at = live_at
-        if digest.urgent and domain != self.member.failure_domain:
-            self.urgent = self.is_acting
+        if digest.urgent and self.is_acting:
+            own = self.member.failure_domain
+            if domain == sender.member.failure_domain != own:
+                self.urgent.add(domain)
 
     def apply_row(
         self,
