--- a/src/currantcart/proxy/streams/peers.py
+++ b/src/currantcart/proxy/streams/peers.py
@@ -32,7 +32,7 @@
 """
 UNNEEDED_MS = 5_000.0
 """Time after which a stream without calls that is not needed is closed."""
-SELECT_TICKS = 4
+SELECT_TICKS = 10
 """Ticks between two selections of the streams to keep, without a change."""
 
 
--- a/src/currantcart/proxy/streams/publisher.py
+++ b/src/currantcart/proxy/streams/publisher.py
@@ -20,6 +20,8 @@
 Between two updates each node admits on its own, so a workspace near its limit
 may exceed it by what arrives in the meantime.
 """
+DUE_TICKS = 2
+"""Ticks between two checks of which relays need a status."""
 CALLS_TICKS = 4
 """Ticks between two checks of which streams with calls need a status."""
 
@@ -113,22 +115,32 @@
 
     def publish_due(self, now: float) -> None:
         """Sends the status on each stream at the stream's own interval."""
-        told = set(self.told_links())
-        for item in told:
-            if now - item.published_at >= digest.STATUS_MS:
-                item.published_at = now
-                item.send_status(self.status(item))
         self.ticks += 1
+        if self.ticks % DUE_TICKS:
+            return
+        told = set(self.told_links())
+        self.publish_older(told, now - digest.STATUS_MS)
         if self.ticks % CALLS_TICKS:
             return
-        for item in self.dialled_links():
-            if item.peer is None or item in told:
-                continue
-            interval = link.CALLS_STATUS_MS
-            if item.idle:
-                interval = link.IDLE_STATUS_MS
-            if now - item.published_at >= interval:
-                item.published_at = now
+        streams = [item for item in self.dialled_links() if item.peer]
+        self.publish_older(
+            [item for item in streams if not item.idle and item not in told],
+            now - link.CALLS_STATUS_MS,
+        )
+        self.publish_older(
+            [item for item in streams if item.idle], now - link.IDLE_STATUS_MS
+        )
+
+    def publish_older(self, items: Iterable[link.Link], due: float) -> None:
+        """Sends the status on streams on which it was last sent long ago.
+
+        Args:
+          items: The streams.
+          due: Time up to which the last status must have been sent.
+        """
+        for item in items:
+            if item.published_at <= due:
+                item.published_at = self.context.now
                 item.send_status(self.status(item))
 
     def publish_counts(self, counts: dict[str, int]) -> None:
--- a/src/currantcart/proxy/streams/relay.py
+++ b/src/currantcart/proxy/streams/relay.py
@@ -39,7 +39,7 @@
 """Time for which a fleet has to be small before a node uses the full mesh."""
 LARGE_MS = 1_000.0
 """Time for which a relay's report of a large fleet holds."""
-JUDGE_TICKS = 2
+JUDGE_TICKS = 3
 """Ticks between two selections of relays."""
 SHARE_TICKS = 4
 """Ticks between two counts of the silent nodes, while no rate is near."""
