--- a/src/currantcart/proxy/streams/link.py
+++ b/src/currantcart/proxy/streams/link.py
@@ -407,6 +407,10 @@
         if self.idle and not idle:
             self.active_since = now
             self.published_at = float("-inf")
+        elif idle and not self.idle:
+            # Streams that become idle together must not all report together.
+            phase = self.context.rng.random()
+            self.published_at = now - IDLE_STATUS_MS * phase
         self.idle = idle
 
     def check(self, now: float, limits: Limits) -> None:
--- a/src/currantcart/proxy/streams/peers.py
+++ b/src/currantcart/proxy/streams/peers.py
@@ -371,11 +371,6 @@
             if stale is not None and stale is not item:
                 stale.abort("replaced")
         item.send(self.status(item))
-        if self.relay.enabled:
-            # Streams that are opened together must not all report together.
-            item.published_at = self.context.now - (
-                link.IDLE_STATUS_MS * self.context.rng.random()
-            )
 
     def drop_predecessors(
         self, peer: peer_module.Peer, item: link.Link
--- a/src/currantcart/proxy/streams/publisher.py
+++ b/src/currantcart/proxy/streams/publisher.py
@@ -89,6 +89,11 @@
         now = self.published_at = self.context.now
         for item in self.introduced_links():
             item.published_at = now
+            if item.idle:
+                # The next ones must not all be due together.
+                item.published_at -= (
+                    link.IDLE_STATUS_MS * self.context.rng.random()
+                )
             item.send_status(self.status(item))
 
     def tick(self, now: float, expedited: dict[str, int]) -> None:
--- a/src/currantcart/proxy/streams/relay.py
+++ b/src/currantcart/proxy/streams/relay.py
@@ -416,10 +416,16 @@
             )
 
     def audience(self) -> Iterator[link.Link]:
-        """Yields the streams on which this node sends digests."""
+        """Yields the streams on which this node sends digests.
+
+        Those that peers have dialled come first: a node keeps its streams to
+        its relays, and a change of the stream takes all rows again.
+        """
         own = self.member.failure_domain
         for peer in self.by_instance.values():
-            item = peer.outgoing or peer.incoming
+            item = peer.incoming
+            if item is None or item.peer is None:
+                item = peer.outgoing
             if item is None or item.peer is None or not item.relays:
                 continue
             domain = peer.member.failure_domain
