--- a/src/currantcart/proxy/streams/link.py
+++ b/src/currantcart/proxy/streams/link.py
@@ -130,6 +130,9 @@
     def handle_fetch(self, link: Link) -> None:
         """Handles a peer's request for the configuration."""
 
+    def link_active(self, link: Link) -> None:
+        """Handles the first call for a while on a link."""
+
     def handle_digest(self, link: Link, digest: frames.Digest) -> None:
         """Handles what a relay knows of a failure domain."""
 
@@ -407,6 +410,7 @@
         if self.idle and not idle:
             self.active_since = now
             self.published_at = float("-inf")
+            self.owner.link_active(self)
         elif idle and not self.idle:
             # Streams that become idle together must not all report together.
             phase = self.context.rng.random()
--- a/src/currantcart/proxy/streams/peers.py
+++ b/src/currantcart/proxy/streams/peers.py
@@ -30,6 +30,8 @@
 They close after more than a second of silence, so each tick would be more
 often than needed, and there are two for each peer.
 """
+CHECK_TICKS_SELECTED = 8
+"""The same in a fleet with relays, where these streams are mostly idle."""
 UNNEEDED_MS = 5_000.0
 """Time after which a stream without calls that is not needed is closed."""
 SELECT_TICKS = 10
@@ -53,6 +55,7 @@
       publisher: Sends this node's status periodically.
       relay: Digests, and whether the fleet uses them.
       dialled: Open streams that this node has dialled.
+      active: Those of them that are not idle, in a fleet with relays.
       ranked: Targets of each service in other nodes, in the own failure domain
         and in the others, as this node prefers them; empty after a change.
       told: Peers that get each status and all counts, in a fleet with relays.
@@ -113,6 +116,7 @@
             link_to=self.link_to,
         )
         self.dialled: set[link.Link] = set()
+        self.active: set[link.Link] = set()
         self.ranked: dict[
             str, tuple[list[picker.Target], list[picker.Target]]
         ] = {}
@@ -338,6 +342,7 @@
             peer.outgoing = opened
             if opened.transport is not None:
                 self.dialled.add(opened)
+                self.active.add(opened)
         except (OSError, TimeoutError):
             pass
         finally:
@@ -390,6 +395,7 @@
         self.reachability.invalidate()
         self.accepted.discard(item)
         self.dialled.discard(item)
+        self.active.discard(item)
         self.relay.forget_link(item)
         self.invalidate_selection(members=False)
         for peer in self.by_instance.values():
@@ -592,7 +598,9 @@
                 for peer in list(self.wanted.values()):
                     if peer.outgoing is None and now >= peer.dial_after:
                         self.dial(peer)
-            self.tick_selected(now, limits, checks_all=checks_all)
+            self.tick_selected(
+                now, limits, checks_all=self.ticks % CHECK_TICKS_SELECTED == 0
+            )
         else:
             self.tick_mesh(now, limits, checks_all=checks_all)
         if checks_all:
@@ -621,16 +629,18 @@
         self, now: float, limits: link.Limits, *, checks_all: bool
     ) -> None:
         """Probes, closes or dials the streams of a node in a large fleet."""
-        if checks_all:
-            self.classify(now)
+        for item in list(self.active):
+            if item.is_awaited:
+                self.check_awaited(item, now, limits)
+        if not checks_all:
+            return
+        self.classify(now)
         for item in list(self.dialled):
-            # Most streams have nothing to check at most ticks.
-            if item.calls or item.probed_at or item.logged_unresponsive:
-                self.check_awaited(
-                    item, now, link.IDLE_LIMITS if item.idle else limits
-                )
-            elif checks_all:
-                item.check(now, link.IDLE_LIMITS if item.idle else limits)
+            item.check(now, link.IDLE_LIMITS if item.idle else limits)
+
+    def link_active(self, item: link.Link) -> None:
+        """Has a stream checked at each tick again."""
+        self.active.add(item)
 
     def classify(self, now: float) -> None:
         """Finds out which streams have no calls, and closes unneeded ones."""
@@ -643,6 +653,8 @@
                 bool(item.calls) or now - item.opened_at < link.ACTIVE_MS
             )
             item.set_idle(not is_active and name not in told, now)
+            if item.idle:
+                self.active.discard(item)
             if name in self.wanted or is_active:
                 item.unneeded_since = None
             elif item.unneeded_since is None:
