--- a/src/currantcart/proxy/streams/link.py
+++ b/src/currantcart/proxy/streams/link.py
@@ -41,7 +41,7 @@
 rises: in a burst, most requests would go to the peer that is cut off, until
 its stream is suspect.
 """
-IDLE_STATUS_MS = 4_000.0
+IDLE_STATUS_MS = 5_000.0
 """Interval of statuses on a stream without calls in a fleet with relays.
 
 A node has a bounded number of such streams, so its statuses do not increase
--- a/src/currantcart/proxy/streams/relay.py
+++ b/src/currantcart/proxy/streams/relay.py
@@ -100,7 +100,8 @@
       lingers_until: Time until which this node relays in a full mesh.
       names: Instances of each failure domain in order of their names, this
         node's included.
-      successions: Relays of each failure domain.
+      successions: Relays of the own failure domain; those of the others too
+        while this node is a relay.
       heard_at: Time as of which a digest of each failure domain was sent there.
       vouched: By stream and failure domain, the processes whose rows were
         received on the stream; the sender vouches for all that it does not
@@ -289,25 +290,34 @@
         self.share = 0.0
 
     def update_relays(self, now: float) -> bool:
-        """Selects the relays of all failure domains."""
-        changed = False
-        for domain, names in self.names.items():
-            succession = self.successions.setdefault(
-                domain, relays.Succession()
-            )
-            if succession.update(self.candidates(names, now)):
-                changed = True
-                self.context.log.event(
-                    "relays_changed",
-                    domain=domain,
-                    relays=",".join(succession.current),
-                )
+        """Selects the relays of the own failure domain, and begins or ends.
+
+        Those of the others are selected by relays only, which receive them
+        directly. What others know of them is too old to judge their silence.
+        """
         own = self.member
+        changed = self.update_domain(own.failure_domain, now)
         is_relay = own.instance in self.current(own.failure_domain)
         if is_relay != self.is_acting:
             self.set_acting(is_relay)
+        if self.is_acting:
+            for domain in self.names:
+                if domain != own.failure_domain:
+                    changed |= self.update_domain(domain, now)
         return changed
 
+    def update_domain(self, domain: str, now: float) -> bool:
+        """Selects the relays of one failure domain."""
+        succession = self.successions.setdefault(domain, relays.Succession())
+        if not succession.update(self.candidates(self.names[domain], now)):
+            return False
+        self.context.log.event(
+            "relays_changed",
+            domain=domain,
+            relays=",".join(succession.current),
+        )
+        return True
+
     def candidates(
         self, names: Iterable[str], now: float
     ) -> Iterator[tuple[str, float]]:
@@ -329,6 +339,8 @@
         self.context.log.event("relay_started" if acting else "relay_ended")
         if not acting:
             self.table = None
+            own = self.member.failure_domain
+            self.successions = {own: self.successions[own]}
             return
         self.table = digest_module.Table()
         for peer in self.by_instance.values():
