--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -58,6 +58,7 @@
     cold_slack = 2.5 if has_optional else default
     assert settings.bounds.cold_slack == cold_slack
     assert settings.descriptors == 4_100
+    assert settings.exchange.mesh_nodes_max == 24
     assert settings.first_start == has_optional
 
 
