--- a/src/currantcart/proxy/streams/publisher.py
+++ b/src/currantcart/proxy/streams/publisher.py
@@ -87,6 +87,8 @@
     def publish(self) -> None:
         """Sends this node's status to all peers now."""
         now = self.published_at = self.context.now
+        if self.relay.is_acting:
+            self.relay.urgent.add(self.context.settings.failure_domain)
         for item in self.introduced_links():
             item.published_at = now
             if item.idle:
--- a/src/currantcart/proxy/streams/relay.py
+++ b/src/currantcart/proxy/streams/relay.py
@@ -602,6 +602,7 @@
                 peer.received_at < live_at
                 and process not in silent
                 and peer.member.process == process
+                and not peer.ended
             ):
                 peer.received_at = live_at
         if digest.urgent and self.is_acting:
--- a/src/currantcart/proxy/streams/silence.py
+++ b/src/currantcart/proxy/streams/silence.py
@@ -146,21 +146,26 @@
 
     def share(self) -> float:
         """Returns the share of the fleet that is silent, 0 to 1."""
-        live_peers = self.live_peers()
         oldest = self.context.now - link.suspect_ms(
             self.context.status_interval_ms
         )
-        silent = [peer for peer in live_peers if peer.received_at < oldest]
-        if self.domains:
-            silent += [
-                peer
-                for peer in live_peers
-                if peer.received_at >= oldest and self.missed_probe(peer)
-            ]
-        return len(silent) / (len(live_peers) + 1)
-
-    def missed_probe(self, peer: peer_module.Peer) -> bool:
-        """Returns whether a peer or its failure domain missed a probe."""
-        domain = self.domains.get(peer.member.failure_domain)
-        process = self.processes.get(peer.member.process)
-        return any(probe and probe.has_timed_out for probe in (domain, process))
+        domains = {
+            name for name, probe in self.domains.items() if probe.has_timed_out
+        }
+        processes = {
+            name
+            for name, probe in self.processes.items()
+            if probe.has_timed_out
+        }
+        silent = count = 0
+        for peer in self.peers():
+            if peer.ended:
+                continue
+            count += 1
+            member = peer.member
+            silent += (
+                peer.received_at < oldest
+                or member.failure_domain in domains
+                or member.process in processes
+            )
+        return silent / (count + 1)
--- a/src/currantcart/workspace/quota.py
+++ b/src/currantcart/workspace/quota.py
@@ -257,10 +257,12 @@
             }
             self.reported[peer] = reported
         for name, count in counts.items():
+            added = count - reported.get(name, 0)
+            if added == 0:
+                continue
             bucket = self.buckets.get(name)
             if bucket is not None:
                 self.refill(bucket, now)
-                added = count - reported.get(name, 0)
                 bucket.tokens -= added
                 bucket.unreported.record_peer(added, now)
             reported[name] = count
--- a/tests/proxy/streams/test_relay.py
+++ b/tests/proxy/streams/test_relay.py
@@ -472,6 +472,10 @@
     await mesh.settle(2.0)
     counted = silent_at(mesh)
     assert {counted[name] for name in places if name != "c06"} == {0}
+    for name, place in places.items():
+        peers = place.node.peers
+        if name != "c06":
+            assert not peers.is_alive(peers.by_instance["c06"])
 
 
 # Configuration and evacuations.
