--- a/src/currantcart/telemetry/definitions.py
+++ b/src/currantcart/telemetry/definitions.py
@@ -59,6 +59,10 @@
         ["service"],
     ),
     "links_lost": ("Streams to peers that were lost", ["reason"]),
+    "digests": (
+        "Digests of relays: received, or streams that they were sent on",
+        ["direction"],
+    ),
 }
 HISTOGRAMS: dict[str, tuple[str, list[str]]] = {
     "request_seconds": (
@@ -80,6 +84,10 @@
         "Usage of a workspace over its share, of requests shed for it",
         [],
     ),
+    "digest_age_seconds": (
+        "Age of the oldest evidence of live nodes in a digest",
+        [],
+    ),
 }
 
 
@@ -94,6 +102,8 @@
     "domains_evacuated": "Failure domains whose targets get no requests",
     "peers": "Peers known",
     "peers_silent_ratio": "Part of the fleet that is not heard",
+    "streams": "Open streams with peers",
+    "relaying": "1 while the node relays statuses, else 0",
     "calls": "Requests on their way",
     "caller_connections": "Connections of callers that are open",
     "running": "Requests at the target",
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -61,6 +61,7 @@
     assert settings.placement.by_completion
     assert settings.fair_shares.enabled
     assert settings.rate_queue.enabled
+    assert settings.exchange.mesh_nodes_max == 24
     assert settings.first_start == has_optional
 
 
