--- a/tests/workspace/test_rate_queue.py
+++ b/tests/workspace/test_rate_queue.py
@@ -419,11 +419,7 @@
 def test_small_rates_are_not_exceeded_at_many_nodes(
     rate: float, burst: float, per_rate: float, seed: int
 ) -> None:
-    """Guards against one grant at each node on the same token.
-
-    Without a pace for the grants of each node, 74 requests ran in 5 s at a rate
-    of 5 per second, where 53 are allowed.
-    """
+    """Guards against one grant at each node on the same token."""
     fleet = rate_fleet.Fleet(73, rate=rate, burst=burst, seed=seed)
     loads = [rate_fleet.Load(USUAL, steady(rate * per_rate))]
     fleet.generate(loads, until_ms=12_000)
