One line a test of a failure

Cause: ten new tests told a story where one line says the failure. Change: the doc strings keep that line; no check changes.

--- a/tests/admission/test_hand_back.py
+++ b/tests/admission/test_hand_back.py
@@ -96,10 +96,7 @@
 
 
 def test_requests_handed_back_use_up_the_free_slots_of_old_statuses() -> None:
-    """Guards against using the same free slot at each decision.
-
-    The statuses are older than the last hand-backs and do not show them.
-    """
+    """Guards against using the same free slot at each decision."""
     others = hand_back.Load(free=10.0)
     usable = 10.0 * hand_back.FREE_PART
     moved = moved_within(1, waiting=30, others=others)
--- a/tests/proxy/targets/test_fair_share_load.py
+++ b/tests/proxy/targets/test_fair_share_load.py
@@ -49,14 +49,7 @@
 def test_the_ingress_alone_protects_the_others_from_shedding(
     surging: int, kept: float
 ) -> None:
-    """Guards against shedding by rank alone where requests enter.
-
-    The queues serve in order of arrival, and the level is given, so that only
-    the choice of what is shed differs. Without the gauge nothing corrects the
-    level, so the total differs by what the estimates are off. Until the usage
-    of the surge is known, the level is shed from all; after it, this level
-    leaves three surging workspaces less than the largest of the others.
-    """
+    """Guards against shedding by rank alone where requests enter."""
     today = fair_shares.run(fair_shares.RANK_AT_LEVEL, surging=surging)
     fair = fair_shares.run(fair_shares.INGRESS_ALONE, surging=surging)
     assert today.kept(before(surging), surging) < 0.8
--- a/tests/proxy/targets/test_hand_backs.py
+++ b/tests/proxy/targets/test_hand_backs.py
@@ -216,10 +216,7 @@
 async def test_a_payment_whose_hand_back_is_lost_is_not_run_again(
     crowd: Crowd,
 ) -> None:
-    """Guards against a second run after the stream with the refusal is lost.
-
-    The callers' node cannot tell this from a lost answer.
-    """
+    """Guards against a second run after the stream with the refusal is lost."""
     lost: list[frames.Refuse] = []
 
     def drop(refusal: frames.Refuse) -> None:
@@ -248,10 +245,7 @@
 async def test_a_request_whose_caller_left_is_not_placed_again(
     crowd: Crowd,
 ) -> None:
-    """Guards against work for callers that have disconnected.
-
-    The cancel and the refusal of the hand-back cross each other.
-    """
+    """Guards against work for callers that have disconnected."""
     held: list[frames.Refuse] = []
     send = crowd.intercept(held.append)
     await crowd.ask()
@@ -275,10 +269,7 @@
 async def test_an_older_node_takes_a_hand_back_for_a_refusal(
     crowd: Crowd,
 ) -> None:
-    """Guards against callers of the previous release that get an error.
-
-    A node without hand-back places a refused request again as well.
-    """
+    """Guards against callers of the previous release that get an error."""
     set_moves(crowd.front, 0)
     await crowd.ask()
     assert await crowd.statuses() == [200] * REQUESTS
@@ -304,10 +295,7 @@
 async def test_a_request_that_no_target_takes_gets_503_with_retry_after(
     crowd: Crowd,
 ) -> None:
-    """Guards against a lost request after a move that fails.
-
-    The far target has changed since its last status, and refuses the request.
-    """
+    """Guards against a lost request after a move that fails."""
     crowd.far.node.guard.target_id = "t-new"
     await crowd.ask()
     assert sorted(await crowd.statuses()) == [200, 200, 200, 503]
@@ -335,10 +323,7 @@
 
 
 async def test_moves_beyond_the_limit_count_as_refusals(crowd: Crowd) -> None:
-    """Guards against guards whose settings allow more moves than the caller's.
-
-    They would pass a request around until its deadline.
-    """
+    """Guards against guards that allow more moves than the caller's node."""
     await crowd.ask(1)
     context = crowd.front.node.context
     call = next(iter(crowd.front.node.outbound.calls))
--- a/tests/routing/test_completion.py
+++ b/tests/routing/test_completion.py
@@ -66,10 +66,7 @@
 
 
 def test_a_request_with_a_short_time_out_leaves_a_slow_target() -> None:
-    """Guards against 504 beside free targets of other domains.
-
-    510 ms of work took 1.2 s at the slow target of the own domain.
-    """
+    """Guards against 504 beside free targets of other domains."""
     assert chosen(pair(), NEAR_SLOW) == "far"
 
 
--- a/tests/workspace/test_quota.py
+++ b/tests/workspace/test_quota.py
@@ -318,11 +318,7 @@
 
 
 def test_tokens_of_a_pause_are_added_after_the_counts_of_the_others() -> None:
-    """A resumed process may read its callers before its peers.
-
-    With the tokens of the pause it would admit a burst that the others, which
-    went on, have used already.
-    """
+    """A resumed process may read its callers before its peers."""
     node = quota.Quotas()
     node.configure({"mill": (20.0, 20.0)}, 0.0)
     node.apply_counts("other", {}, 0.0)
--- a/tests/workspace/test_rate_queue.py
+++ b/tests/workspace/test_rate_queue.py
@@ -266,10 +266,7 @@
 
 
 def test_a_request_past_its_latest_grant_is_refused() -> None:
-    """Guards against work for a response that is late anyway.
-
-    The process was paused while the request waited.
-    """
+    """Guards against work for a response that is late anyway."""
     queue = queue_of()
     item = waiter(grant_by=200.0)
     offer(queue, item)
