--- a/src/currantcart/http1/pool.py
+++ b/src/currantcart/http1/pool.py
@@ -257,6 +257,8 @@
 have been read. If it must not be retried, it is lost.
 """
 CONNECT_SECONDS_MAX = 1.0
+TIMED_OUT = "timed out"
+"""Reason given for a connection that was neither accepted nor refused."""
 
 
 class Pool:
@@ -305,8 +307,10 @@
                 _, connection = await self.loop.create_connection(
                     Connection, *self.address
                 )
-        except (OSError, TimeoutError) as error:
-            on_failed(str(error) or "timed out")
+        except TimeoutError:
+            on_failed(TIMED_OUT)
+        except OSError as error:
+            on_failed(str(error) or type(error).__name__)
         else:
             on_open(connection)
 
--- a/src/currantcart/proxy/requests/attempts.py
+++ b/src/currantcart/proxy/requests/attempts.py
@@ -73,6 +73,7 @@
             else "",
             workspace=call.lineage.workspace,
             weight=call.lineage.weight,
+            fingerprint=call.fingerprint,
         )
 
     def hand_to_local(self, call: call_module.Call, now: float) -> None:
--- a/src/currantcart/proxy/requests/call.py
+++ b/src/currantcart/proxy/requests/call.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 
 from currantcart.admission import pressure
-from currantcart.call import attempt, lineage
+from currantcart.call import attempt, fingerprint, lineage
 from currantcart.proxy.requests import intake
 from currantcart.proxy.streams import frames, link
 from currantcart.proxy.targets import job as job_module
@@ -47,6 +47,7 @@
       placed_at: When the target of the current attempt was chosen.
       expected_ms: Expected time from then until the answer; 0 if unknown.
       expects_wait: Whether all slots of that target were in use.
+      fingerprint: Fingerprint of the request's content.
     """
 
     request: intake.Request
@@ -76,3 +77,4 @@
     placed_at: float = 0.0
     expected_ms: float = 0.0
     expects_wait: bool = False
+    fingerprint: int = fingerprint.NONE
--- a/src/currantcart/proxy/requests/outbound.py
+++ b/src/currantcart/proxy/requests/outbound.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from currantcart.admission import pressure, retry_after, slots
-from currantcart.call import attempt, lineage
+from currantcart.call import attempt, fingerprint, lineage
 from currantcart.http1 import status as status_module
 from currantcart.proxy import context as proxy_context
 from currantcart.proxy.requests import (
@@ -111,6 +111,13 @@
         if call.expires_at - now < guard.LATE_MS:
             self.finish(call, 504, "deadline_exceeded")
             return None
+        call.fingerprint = fingerprint.of(
+            workspace=request.workspace,
+            route=route.name,
+            method=request.method,
+            path=request.path,
+            body=request.body,
+        )
         self.set_lineage(call)
         if request.internal:
             self.ingress.record_called(service)
--- a/src/currantcart/proxy/streams/frames.py
+++ b/src/currantcart/proxy/streams/frames.py
@@ -173,6 +173,7 @@
       workspace: Workspace that it belongs to, or that its root belongs to;
         empty if there is none or it is not known.
       weight: Weight of the workspace in fair shares; 0 if not given.
+      fingerprint: Fingerprint of its content; 0 if not given.
     """
 
     call: int
@@ -193,6 +194,7 @@
     kind: str = ""
     workspace: str = ""
     weight: float = 0
+    fingerprint: int = 0
 
 
 class Data(msgspec.Struct, array_like=True, tag=5):
--- a/src/currantcart/proxy/targets/guard.py
+++ b/src/currantcart/proxy/targets/guard.py
@@ -15,6 +15,7 @@
     hand_backs,
     overload,
     statements,
+    target_end,
     target_exchange,
     target_usage,
     warm_up,
@@ -42,6 +43,7 @@
       ready: Whether the target accepts requests.
       warm_up: Whether the target is cold, and what it bears then.
       connectivity: Whether the target accepts connections.
+      ends: Detects that the target's process has ended.
       statements: What the target states about itself in its answers.
       queue: The target's slots and the queue of requests that wait for one.
       running: Requests that hold a slot, by object identity.
@@ -78,6 +80,12 @@
             is_used=lambda: self.ready,
             on_change=self.handle_connectivity,
         )
+        self.ends = target_end.EndDetector(
+            context,
+            connections=self.exchange.pool,
+            running=self.running.values,
+            on_refused=lambda: self.mark_unreachable(refused=True),
+        )
         self.warm_up = warm_up.WarmUp(context, connections=self.exchange.pool)
         self.statements = statements.Statements(context)
         self.overload = overload.Overload(context, queue=self.queue)
@@ -106,6 +114,8 @@
           cold_ms: Remaining warm-up time.
           born: Start of its incarnation, in milliseconds since 1970.
         """
+        if (target_id, born) != (self.target_id, self.born):
+            self.record_end("new_incarnation")
         if target_id != self.target_id:
             self.exchange.reset()
         if (target_id, born) != (self.target_id, self.born):
@@ -123,10 +133,41 @@
             self.refuse_waiting("target_leaving")
         self.run_waiting()
 
-    def mark_unreachable(self) -> None:
-        """Stops admission to a target that refuses connections."""
+    def mark_unreachable(self, *, refused: bool) -> None:
+        """Stops admission to a target that accepts no connections.
+
+        Args:
+          refused: Whether it refuses them, so that its process has ended.
+        """
+        if refused:
+            self.record_end("refused")
         self.connectivity.mark_down()
 
+    def record_end(self, cause: str) -> None:
+        """Records that the target's process has ended.
+
+        One that has left, or whose failure domain is evacuated, has ended as
+        announced.
+        """
+        if self.ready and not self.is_evacuated:
+            self.ends.record_end(target_id=self.target_id, cause=cause)
+        else:
+            self.ends.forget()
+
+    def record_unanswered(
+        self, job: job_module.Job, *, connection_lost: bool
+    ) -> None:
+        """Records a request that left the target without an answer.
+
+        Args:
+          job: The request.
+          connection_lost: Whether its connection ended, rather than that the
+            request was cancelled.
+        """
+        self.ends.record_unanswered(job)
+        if connection_lost and self.connectivity.up:
+            self.ends.check()
+
     def handle_connectivity(self) -> None:
         """Publishes that the target is down or up again.
 
@@ -320,6 +361,7 @@
         Peers are told before the answer is passed on: of a leave they tell the
         next process of this node, which has not seen the answer.
         """
+        self.ends.record_answer(job)
         rate = self.queue.rate
         was_limited = rate.is_limited
         if not self.statements.record(job, answer):
--- a/src/currantcart/proxy/targets/job.py
+++ b/src/currantcart/proxy/targets/job.py
@@ -51,6 +51,7 @@
       connection: Connection to the target that carries it.
       handed_at: Time at which it was written to the target; negative before.
       pace_weight: Its weight in the pace of the target while it runs there.
+      counted_at_end: Whether it was counted as running when the target ended.
     """
 
     opening: frames.Open
@@ -61,6 +62,7 @@
     connection: pool.Connection | None = None
     handed_at: float = -1.0
     pace_weight: float = 0.0
+    counted_at_end: bool = False
 
     def lineage(self) -> lineage.Lineage:
         """Returns the lineage of the calls that the target makes for it."""
--- a/src/currantcart/proxy/targets/target_exchange.py
+++ b/src/currantcart/proxy/targets/target_exchange.py
@@ -28,8 +28,13 @@
     ) -> None:
         """Replies that a request did not run and will not run."""
 
-    def mark_unreachable(self) -> None:
-        """Stops admission to a target that refuses connections."""
+    def mark_unreachable(self, *, refused: bool) -> None:
+        """Stops admission to a target that accepts no connections."""
+
+    def record_unanswered(
+        self, job: job_module.Job, *, connection_lost: bool
+    ) -> None:
+        """Records a request that left the target without an answer."""
 
     def record_sent(self, now: float) -> None:
         """Counts a request that is sent to the target."""
@@ -137,7 +142,7 @@
 
         Nothing has reached the target, so another attempt is no retry.
         """
-        self.slots.mark_unreachable()
+        self.slots.mark_unreachable(refused=reason != pool.TIMED_OUT)
         if job.reply is None:
             return
         self.context.log.event(
@@ -234,6 +239,7 @@
         """Ends a request whose connection ended before a complete response."""
         job.connection = None
         self.end_work(job, self.context.now, completed=False)
+        self.slots.record_unanswered(job, connection_lost=True)
         self.slots.free(job)
         self.context.log.event(
             "answer_lost",
@@ -261,6 +267,7 @@
             job.connection = None
             now = self.context.now
             self.end_work(job, now, completed=False)
+            self.slots.record_unanswered(job, connection_lost=False)
             if self.context.settings.placement.by_completion:
                 self.work_by_kind.record_cancelled(
                     job.opening.kind, now - job.handed_at, now
--- a/src/currantcart/telemetry/definitions.py
+++ b/src/currantcart/telemetry/definitions.py
@@ -48,6 +48,10 @@
         ["outcome"],
     ),
     "target_requests": ("Requests sent to the target", []),
+    "target_ends": (
+        "Ends of the target's process while it ran requests, by evidence",
+        ["cause"],
+    ),
     "callers_closed": ("Idle connections closed for others", ["cause"]),
     "store_calls": ("Calls to the store, by result", ["call", "result"]),
     "placed": (
--- a/src/currantcart/telemetry/timeline.py
+++ b/src/currantcart/telemetry/timeline.py
@@ -33,6 +33,7 @@
         "domain_evacuated",
         "domain_restored",
         "target_down",
+        "target_ended",
         "target_up",
         "store_lost",
         "store_regained",
--- a/tests/proxy/test_statuses.py
+++ b/tests/proxy/test_statuses.py
@@ -23,7 +23,7 @@
     elif change == "restart":
         guard.born += 1
     else:
-        guard.mark_unreachable()
+        guard.mark_unreachable(refused=True)
     after = statuses.target_state(mesh.clock.now())
     assert (after.ready, after.leaving, after.born) == (
         guard.is_open,
@@ -38,7 +38,7 @@
 ) -> None:
     place = await mesh.add("a")
     await mesh.settle(1.0)
-    place.node.guard.mark_unreachable()
+    place.node.guard.mark_unreachable(refused=True)
     now = mesh.clock.now()
     assert not place.node.statuses.target_state(now).leaving
     place.node.guard.mark_target_leaving()
