--- a/bench/reference.py
+++ b/bench/reference.py
@@ -33,6 +33,7 @@
     ("fair_shares", proxy_settings.FairShares),
     ("placement", proxy_settings.Placement),
     ("hand_back", proxy_settings.HandBack),
+    ("quarantine", proxy_settings.Quarantine),
 )
 PROXY_HEAD = """
 # Settings of a node that a platform starts
--- a/src/currantcart/proxy/context.py
+++ b/src/currantcart/proxy/context.py
@@ -7,6 +7,7 @@
 import random
 
 from currantcart import clock as clock_module
+from currantcart.call import quarantine as quarantine_module
 from currantcart.catalog import model as catalog_model
 from currantcart.fleet import evacuation, freshness
 from currantcart.proxy import header_names as header_names_module
@@ -31,6 +32,7 @@
       catalog: Configuration in force; None before the first is received.
       freshness: How recently `catalog` was confirmed to be the newest version.
       evacuations: Failure domains whose targets must get no requests.
+      quarantine: Requests under which targets have ended.
       draining: Whether the node shuts down: readiness fails, and callers'
         connections are closed after their next response.
       rejecting_callers: Whether the node rejects new requests of callers.
@@ -63,9 +65,18 @@
     status_interval_ms: float = 400.0
     direct_interval_ms: float = 400.0
     started_at: float = dataclasses.field(init=False)
+    quarantine: quarantine_module.Quarantine = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
         self.started_at = self.now
+        limits = self.settings.quarantine
+        self.quarantine = quarantine_module.Quarantine(
+            ends_max=limits.ends_max,
+            requests_max=limits.requests_max,
+            suspect_ms=limits.suspect_seconds * clock_module.MS_PER_SECOND,
+            quarantine_ms=limits.quarantine_seconds
+            * clock_module.MS_PER_SECOND,
+        )
 
     @property
     def now(self) -> float:
--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -10,6 +10,7 @@
 
 from currantcart import background
 from currantcart.admission import connections
+from currantcart.call import quarantine
 from currantcart.fleet import digest, evacuation, target_record
 from currantcart.proxy import context as proxy_context
 from currantcart.proxy import control, shutdown, state_log, statuses
@@ -282,6 +283,7 @@
     def add_gauges(self) -> None:
         """Registers the gauges that are read when the metrics are rendered."""
         known, queue = self.context.freshness, self.guard.queue
+        known_ends = self.context.quarantine
         self.context.counts.gauges = {
             "config_version": lambda: known.version,
             "config_age_seconds": lambda: known.age(self.context.now) / 1e3,
@@ -305,6 +307,16 @@
                 self.outbound.retries.slack_share.nodes
             ),
             "retry_budget_nodes_age_seconds": self.outbound.retries.nodes_age,
+            "requests_suspected": lambda: known_ends.count(
+                (
+                    quarantine.Verdict.SUSPECT,
+                    quarantine.Verdict.LAST_TRIAL,
+                ),
+                self.context.now,
+            ),
+            "requests_quarantined": lambda: known_ends.count(
+                (quarantine.Verdict.QUARANTINED,), self.context.now
+            ),
             "rate_waiting": lambda: self.callers.rate_wait.queue.requests,
             "log_bytes_dropped": lambda: self.context.log.dropped_bytes,
         }
@@ -382,7 +394,14 @@
         """Updates and publishes the node's state; every few ticks sweeps."""
         self.ticks += 1
         is_overload_changed = self.guard.update_overload()
-        if is_overload_changed or self.is_change_unpublished():
+        is_evidence_due = self.statuses.evidence.is_due(
+            relaying=self.peers.relay.is_acting
+        )
+        if (
+            is_overload_changed
+            or is_evidence_due
+            or self.is_change_unpublished()
+        ):
             self.peers.publish()
         self.outbound.refresh_local_target()
         expedited = self.quotas.expedited()
@@ -400,6 +419,7 @@
             )
             self.callers.sweep()
             self.state_log.log_changes(now)
+            self.context.quarantine.expire(now)
             self.guard.exchange.pool.sweep(now)
 
     def is_change_unpublished(self) -> bool:
--- a/src/currantcart/proxy/requests/attempts.py
+++ b/src/currantcart/proxy/requests/attempts.py
@@ -5,7 +5,7 @@
 from currantcart.call import attempt
 from currantcart.proxy import context as proxy_context
 from currantcart.proxy.requests import call as call_module
-from currantcart.proxy.requests import local_reply
+from currantcart.proxy.requests import local_reply, suspects
 from currantcart.proxy.streams import frames, link
 from currantcart.proxy.targets import guard
 from currantcart.routing import picker
@@ -137,7 +137,7 @@
                 retry_after_ms=frame.retry_after_ms,
             )
         else:
-            self.handler.lost(call, frame.code)
+            self.handler.lost(call, frame.code, end_number=frame.end_number)
 
     def handle_answer(
         self, call: call_module.Call, answer: frames.Answer
@@ -194,4 +194,4 @@
         calls, peer_link.calls = peer_link.calls, {}
         for call in calls.values():
             if isinstance(call, call_module.Call) and call.link is peer_link:
-                self.handler.lost(call, "peer_lost")
+                self.handler.lost(call, suspects.PEER_LOST)
--- a/src/currantcart/proxy/requests/local_reply.py
+++ b/src/currantcart/proxy/requests/local_reply.py
@@ -25,7 +25,9 @@
     ) -> None:
         """Handles a refusal: the request did not run and never will."""
 
-    def lost(self, call: call_module.Call, code: str) -> None:
+    def lost(
+        self, call: call_module.Call, code: str, *, end_number: int = 0
+    ) -> None:
         """Handles a lost attempt, whose outcome is unknown."""
 
 
@@ -57,7 +59,7 @@
                 retry_after_ms=retry_after_ms,
             )
 
-    def lost(self, code: str) -> None:
+    def lost(self, code: str, *, end_number: int = 0) -> None:
         """Handles a lost attempt, whose outcome is unknown."""
         if self.call.local_reply is self:
-            self.handler.lost(self.call, code)
+            self.handler.lost(self.call, code, end_number=end_number)
--- a/src/currantcart/proxy/requests/outbound.py
+++ b/src/currantcart/proxy/requests/outbound.py
@@ -8,6 +8,7 @@
 from currantcart.call import attempt, fingerprint, lineage
 from currantcart.http1 import status as status_module
 from currantcart.proxy import context as proxy_context
+from currantcart.proxy import evidence
 from currantcart.proxy.requests import (
     attempts,
     completion,
@@ -16,6 +17,7 @@
     moves,
     pending,
     placement,
+    suspects,
 )
 from currantcart.proxy.requests import call as call_module
 from currantcart.proxy.requests import retries as retries_module
@@ -119,6 +121,9 @@
             body=request.body,
         )
         self.set_lineage(call)
+        if suspects.is_quarantined(self.context, call):
+            self.refuse_quarantined(call)
+            return None
         if request.internal:
             self.ingress.record_called(service)
         elif by := self.ingress.shed_by(call):
@@ -175,6 +180,9 @@
         now = self.context.now
         if call.service == self.peers.local_target.service:
             self.refresh_local_load(now)
+        if suspects.is_quarantined(self.context, call):
+            self.refuse_quarantined(call)
+            return
         chosen = self.placement.choose(call, self.peers.reachability)
         if chosen is None:
             if self.peers.reachability.is_evacuated(call.service):
@@ -224,6 +232,7 @@
         """Ends a request with its target's answer."""
         failed = status >= status_module.SERVER_ERROR
         self.attempts.apply_event(call, attempt.Event.ANSWER)
+        evidence.record_answer(self.context, call.fingerprint)
         if not failed:
             self.placement.record_end(call, answered=True)
         completion.count_end(self.context, call, f"{status // 100}xx")
@@ -266,6 +275,9 @@
         if at_target:
             self.retry(call)
             return
+        if code in suspects.FINAL:
+            self.give_up(call)
+            return
         if not moves.take(self.context, call, code):
             call.refusing_guards += code not in UNAVAILABLE
         if (
@@ -276,14 +288,22 @@
         else:
             self.give_up(call)
 
-    def lost(self, call: call_module.Call, code: str) -> None:
+    def lost(
+        self, call: call_module.Call, code: str, *, end_number: int = 0
+    ) -> None:
         """Handles an attempt that may have run, without an answer.
 
         An idempotent request may be retried. For any other the caller learns
         that the outcome is unknown.
+
+        Args:
+          call: The request.
+          code: Why it was lost.
+          end_number: Number of the end of the target, if it has ended.
         """
         self.context.counts.add("attempts", call.service, code)
         self.attempts.apply_event(call, attempt.Event.LOSE)
+        suspects.record_lost(self.context, call, code, end_number)
         self.attempts.end_attempt(call, failed=True)
         call.last_code = code
         self.retry(call)
@@ -291,7 +311,9 @@
     def retry(self, call: call_module.Call) -> None:
         """Sends a request to another target, if route and budget allow."""
         call.handed_to_targets += 1
-        if self.retries.take_retry(call):
+        if suspects.is_quarantined(self.context, call):
+            self.give_up(call)
+        elif self.retries.take_retry(call):
             self.dispatch(call)
         else:
             self.give_up(call)
@@ -313,6 +335,11 @@
         else:
             self.finish(call, 502, call.last_code)
 
+    def refuse_quarantined(self, call: call_module.Call) -> None:
+        """Ends a request that would be sent, but has ended too many targets."""
+        self.context.counts.add("quarantine_refusals", call.service)
+        self.give_up(call)
+
     def reject(self, call: call_module.Call, code: str) -> None:
         """Rejects a request before any attempt, with a Retry-After."""
         after = retry_after.delay_ms(
--- a/src/currantcart/proxy/requests/placement.py
+++ b/src/currantcart/proxy/requests/placement.py
@@ -4,7 +4,7 @@
 
 from currantcart.proxy import context as proxy_context
 from currantcart.proxy.requests import call as call_module
-from currantcart.proxy.requests import moves
+from currantcart.proxy.requests import moves, suspects
 from currantcart.proxy.streams import reachability
 from currantcart.routing import completion, estimates, picker, speed
 
@@ -48,6 +48,11 @@
           The target; None if there is none.
         """
         now = self.context.now
+        suspected = suspects.choose(
+            self.context, call, reachable.reachable(call.service)
+        )
+        if suspected is not None:
+            return suspected
         forecast = None
         far_max = reachability.CANDIDATES_FAR
         if self.context.settings.placement.by_completion:
--- a/src/currantcart/proxy/settings.py
+++ b/src/currantcart/proxy/settings.py
@@ -122,6 +122,24 @@
     moves_max: Annotated[int, msgspec.Meta(ge=0, le=4)] = 0
 
 
+class Quarantine(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Requests under which targets have ended.
+
+    Attributes:
+      ends_max: Targets that may end under a request before it is sent to no
+        other one; 0 means no limit.
+      requests_max: Requests under which targets have ended that are kept.
+      suspect_seconds: Time after an end for which a request remains suspect.
+      quarantine_seconds: Time after the last end until a request that was
+        quarantined is sent to one target again.
+    """
+
+    ends_max: Annotated[int, msgspec.Meta(ge=0, le=8)] = 3
+    requests_max: Annotated[int, msgspec.Meta(ge=16, le=4096)] = 256
+    suspect_seconds: Annotated[float, msgspec.Meta(gt=0)] = 120.0
+    quarantine_seconds: Annotated[float, msgspec.Meta(gt=0)] = 600.0
+
+
 class ProxySettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """Settings of one node.
 
@@ -142,6 +160,7 @@
       fair_shares: Fair shares of a service among workspaces.
       placement: Selection of targets.
       hand_back: Queued requests that are handed back.
+      quarantine: Requests under which targets have ended.
     """
 
     instance: str
@@ -159,6 +178,7 @@
     fair_shares: FairShares = FairShares()
     placement: Placement = Placement()
     hand_back: HandBack = HandBack()
+    quarantine: Quarantine = Quarantine()
 
 
 def split_address(value: str) -> tuple[str, int]:
--- a/src/currantcart/proxy/statuses.py
+++ b/src/currantcart/proxy/statuses.py
@@ -6,7 +6,12 @@
 from collections.abc import Callable
 
 from currantcart.proxy import context as proxy_context
-from currantcart.proxy.streams import config_feed, frames, link
+from currantcart.proxy.streams import (
+    config_feed,
+    evidence_exchange,
+    frames,
+    link,
+)
 from currantcart.proxy.streams import peer as peer_module
 from currantcart.proxy.streams import peers as peers_module
 from currantcart.proxy.targets import guard
@@ -23,7 +28,11 @@
 
 
 class Statuses:
-    """Builds and applies the statuses of one node."""
+    """Builds and applies the statuses of one node.
+
+    Attributes:
+      evidence: Exchange of the evidence against requests.
+    """
 
     def __init__(
         self,
@@ -52,6 +61,7 @@
         self.feed = feed
         self.on_status = on_status
         self.on_target_left = on_target_left
+        self.evidence = evidence_exchange.EvidenceExchange(context)
         self.peers: peers_module.Peers | None = None
         self.state = local_guard.state()
         self.state_of = local_guard.life_cycle()
@@ -80,6 +90,7 @@
             else None,
             evacuations=self.feed.evacuations.unsent(item),
             sequence=self.count_changes() + self.quotas.sequence,
+            evidence=self.evidence.unsent(item),
         )
 
     def own_status(self, complete: bool) -> frames.Status:
@@ -157,6 +168,7 @@
         if status.left:
             self.on_target_left(*status.left)
         self.feed.handle_status(peer, item, status)
+        self.evidence.handle(item, status)
         self.apply_counts(peer, status.counts)
 
     def apply_row(
--- a/src/currantcart/proxy/streams/frames.py
+++ b/src/currantcart/proxy/streams/frames.py
@@ -78,6 +78,20 @@
     domains: tuple[str, ...]
 
 
+class Evidence(msgspec.Struct, array_like=True, frozen=True):
+    """Ends of targets that count against one request, or no longer do.
+
+    Attributes:
+      fingerprint: Fingerprint of the request.
+      ends: Target, number of its end, and time since then in milliseconds.
+      cleared: Target and number of the ends that no longer count.
+    """
+
+    fingerprint: int
+    ends: tuple[tuple[str, int, float], ...]
+    cleared: tuple[tuple[str, int], ...] = ()
+
+
 class Hello(msgspec.Struct, array_like=True, tag=1):
     """First frame in each direction; introduces the sender.
 
@@ -119,6 +133,7 @@
         same ones before.
       sequence: Number of changes of what `Row` holds, since the sender's start;
         0 from a node that does not count them.
+      evidence: Evidence against requests that the receiver was not sent yet.
     """
 
     now_ms: float
@@ -131,6 +146,7 @@
     left: tuple[str, int] | None = None
     evacuations: Evacuations | None = None
     sequence: int = 0
+    evidence: tuple[Evidence, ...] = ()
 
 
 class Config(msgspec.Struct, array_like=True, tag=3):
@@ -254,12 +270,14 @@
       code: Error code that gives the reason.
       busy: Requests running or queued at the target.
       limit: Concurrency limit of the target.
+      end_number: Number of the end of the target, if it has ended; else 0.
     """
 
     call: int
     code: str
     busy: int
     limit: int
+    end_number: int = 0
 
 
 class Cancel(msgspec.Struct, array_like=True, tag=9):
--- a/src/currantcart/proxy/streams/link.py
+++ b/src/currantcart/proxy/streams/link.py
@@ -161,6 +161,7 @@
         peer was sent them with a status.
       sent_evacuations: Evacuated failure domains last sent to the peer; None
         before the first, or if the peer is to be sent them again.
+      sent_evidence: Sequence of the evidence up to which the peer was sent it.
       calls: Calls on it by number; their type is up to the owner.
       relays: Whether the peer reads `Digest`.
       digest_now: Peer's clock in its last digest.
@@ -197,6 +198,7 @@
         self.sent_counts = 0
         self.sent_version = 0
         self.sent_evacuations: frozenset[str] | None = None
+        self.sent_evidence = 0
         self.fetches = False
         self.relays = False
         self.digest_now = 0.0
--- a/src/currantcart/proxy/targets/guard.py
+++ b/src/currantcart/proxy/targets/guard.py
@@ -9,6 +9,7 @@
 from currantcart.admission import pressure, slots, target_rate
 from currantcart.call import lineage
 from currantcart.proxy import context as proxy_context
+from currantcart.proxy import evidence
 from currantcart.proxy.streams import frames
 from currantcart.proxy.targets import (
     connectivity,
@@ -18,6 +19,7 @@
     target_end,
     target_exchange,
     target_usage,
+    trials,
     warm_up,
 )
 from currantcart.proxy.targets import job as job_module
@@ -154,19 +156,13 @@
         else:
             self.ends.forget()
 
-    def record_unanswered(
-        self, job: job_module.Job, *, connection_lost: bool
-    ) -> None:
-        """Records a request that left the target without an answer.
-
-        Args:
-          job: The request.
-          connection_lost: Whether its connection ended, rather than that the
-            request was cancelled.
-        """
+    def record_unanswered(self, job: job_module.Job) -> None:
+        """Records a request that left the target without an answer."""
         self.ends.record_unanswered(job)
-        if connection_lost and self.connectivity.up:
-            self.ends.check()
+
+    def report_lost(self, job: job_module.Job) -> None:
+        """Replies that the outcome is unknown, since the connection ended."""
+        self.ends.report_lost(job, is_up=self.connectivity.up)
 
     def handle_connectivity(self) -> None:
         """Publishes that the target is down or up again.
@@ -346,7 +342,7 @@
             return "another_target"
         if job.expires_at - now < LATE_MS:
             return "too_late"
-        return ""
+        return trials.refusal_reason(self.context, job, self.running.values())
 
     def record_sent(self, now: float) -> None:
         """Counts a request that is sent to the target."""
@@ -362,6 +358,8 @@
         next process of this node, which has not seen the answer.
         """
         self.ends.record_answer(job)
+        if not answer.refused:
+            evidence.record_answer(self.context, job.opening.fingerprint)
         rate = self.queue.rate
         was_limited = rate.is_limited
         if not self.statements.record(job, answer):
--- a/src/currantcart/proxy/targets/inbound.py
+++ b/src/currantcart/proxy/targets/inbound.py
@@ -92,7 +92,7 @@
             )
         )
 
-    def lost(self, code: str) -> None:
+    def lost(self, code: str, *, end_number: int = 0) -> None:
         """Notifies the peer that the outcome is unknown."""
         self.release()
         self.link.send(
@@ -101,6 +101,7 @@
                 code=code,
                 busy=self.inbound.guard.busy,
                 limit=self.inbound.guard.limit(),
+                end_number=end_number,
             )
         )
 
--- a/src/currantcart/proxy/targets/job.py
+++ b/src/currantcart/proxy/targets/job.py
@@ -33,8 +33,13 @@
     ) -> None:
         """Called when the request did not run and will not run."""
 
-    def lost(self, code: str) -> None:
-        """Called when the request may have run and its response is lost."""
+    def lost(self, code: str, *, end_number: int = 0) -> None:
+        """Called when the request may have run and its response is lost.
+
+        Args:
+          code: Why.
+          end_number: Number of the end of the target, if it has ended.
+        """
 
 
 @dataclasses.dataclass(slots=True)
@@ -51,7 +56,8 @@
       connection: Connection to the target that carries it.
       handed_at: Time at which it was written to the target; negative before.
       pace_weight: Its weight in the pace of the target while it runs there.
-      counted_at_end: Whether it was counted as running when the target ended.
+      counted_at_end: Whether the target has ended while it ran.
+      end_number: Number of that end; 0 if it is not held against it.
     """
 
     opening: frames.Open
@@ -63,6 +69,7 @@
     handed_at: float = -1.0
     pace_weight: float = 0.0
     counted_at_end: bool = False
+    end_number: int = 0
 
     def lineage(self) -> lineage.Lineage:
         """Returns the lineage of the calls that the target makes for it."""
--- a/src/currantcart/proxy/targets/target_end.py
+++ b/src/currantcart/proxy/targets/target_end.py
@@ -5,9 +5,10 @@
 import dataclasses
 from collections.abc import Callable, Iterable
 
-from currantcart.call import fingerprint
+from currantcart.call import fingerprint, quarantine
 from currantcart.http1 import pool
 from currantcart.proxy import context as proxy_context
+from currantcart.proxy import evidence
 from currantcart.proxy.targets import job as job_module
 
 UNANSWERED_MS = 5_000.0
@@ -16,6 +17,8 @@
 A target that restarts at once is known to have ended only by its next report.
 """
 UNANSWERED_MAX = 512
+CHECK_SECONDS_MAX = 0.1
+"""Longest wait of a sender for the check whether the target has ended."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,6 +49,7 @@
       on_refused: Called if the target refuses a connection.
       unanswered: Requests whose connection ended, the oldest first.
       checking: Whether a connection is being opened to check the target.
+      waiting: Requests whose senders are told after the check.
     """
 
     def __init__(
@@ -62,6 +66,7 @@
         self.on_refused = on_refused
         self.unanswered: list[Unanswered] = []
         self.checking = False
+        self.waiting: list[job_module.Job] = []
 
     def record_unanswered(self, job: job_module.Job) -> None:
         """Records a request whose connection ended before its answer."""
@@ -85,23 +90,53 @@
                 item for item in self.unanswered if item.at >= job.handed_at
             ]
 
-    def check(self) -> None:
-        """Opens a connection, unless one is being opened already."""
-        if self.checking:
+    def report_lost(self, job: job_module.Job, *, is_up: bool) -> None:
+        """Tells the sender that an answer is lost, once it is known why.
+
+        Before it sends the request to another target, it has to know whether
+        this one has ended.
+
+        Args:
+          job: The request.
+          is_up: Whether the target accepted connections until now.
+        """
+        if job.counted_at_end or not is_up:
+            self.reply(job)
             return
-        self.checking = True
-        self.connections.dial(self.check_succeeded, self.check_failed)
+        self.waiting.append(job)
+        if len(self.waiting) == 1:
+            self.context.loop.call_later(CHECK_SECONDS_MAX, self.reply_all)
+        if not self.checking:
+            self.checking = True
+            self.connections.dial(self.check_succeeded, self.check_failed)
 
     def check_succeeded(self, connection: pool.Connection) -> None:
         """Ends a check: the process lives, as far as is known."""
         self.checking = False
         self.connections.give_back(connection, self.context.now)
+        self.reply_all()
 
     def check_failed(self, reason: str) -> None:
         """Ends a check; only a refusal shows that the process has ended."""
         self.checking = False
         if reason != pool.TIMED_OUT:
             self.on_refused()
+        self.reply_all()
+
+    def reply_all(self) -> None:
+        """Replies to all that wait for the check."""
+        waiting, self.waiting = self.waiting, []
+        for job in waiting:
+            self.reply(job)
+
+    def reply(self, job: job_module.Job) -> None:
+        """Replies that the outcome of a request is unknown."""
+        reply, job.reply = job.reply, None
+        if reply is not None:
+            reply.lost(
+                "target_ended" if job.counted_at_end else "answer_lost",
+                end_number=job.end_number,
+            )
 
     def record_end(self, *, target_id: str, cause: str) -> None:
         """Records that the process has ended, with all that it ran.
@@ -112,7 +147,9 @@
           target_id: Id of the target that has ended.
           cause: What shows that it has ended.
         """
-        ended_under = self.take_unanswered()
+        now = self.context.now
+        end = quarantine.End(target_id, max(1, int(now)), now)
+        ended_under = self.take_unanswered(end)
         if not ended_under:
             return
         self.context.counts.add("target_ends", cause)
@@ -129,23 +166,48 @@
                 fingerprint=fingerprint.show(item.fingerprint),
                 target=target_id,
             )
+            if self.is_held_against(item.fingerprint):
+                evidence.record_end(
+                    self.context,
+                    item.fingerprint,
+                    end,
+                    source=self.context.settings.instance,
+                    own=True,
+                )
 
-    def take_unanswered(self) -> list[Unanswered]:
-        """Removes and returns what the process had not answered."""
-        now = self.context.now
+    def is_held_against(self, fingerprint: int) -> bool:
+        """Returns whether an end counts against a request."""
+        known = self.context.quarantine
+        return not known.was_answered(fingerprint, self.context.now)
+
+    def take_unanswered(self, end: quarantine.End) -> list[Unanswered]:
+        """Removes and returns what the process had not answered.
+
+        Args:
+          end: Its end, which is noted on the requests that are still here.
+        """
+        now = end.at
         found = [
             item for item in self.unanswered if now - item.at < UNANSWERED_MS
         ]
         self.unanswered = []
+        for job in self.waiting:
+            self.count_at_end(job, end)
         for job in self.running():
             if job.handed_at >= 0 and not job.counted_at_end:
-                job.counted_at_end = True
+                self.count_at_end(job, end)
                 opening = job.opening
                 found.append(
                     Unanswered(opening.request_id, opening.fingerprint, now)
                 )
         return found
 
+    def count_at_end(self, job: job_module.Job, end: quarantine.End) -> None:
+        """Notes on a request that the process has ended while it ran."""
+        job.counted_at_end = True
+        if self.is_held_against(job.opening.fingerprint):
+            job.end_number = end.number
+
     def forget(self) -> None:
         """Forgets what was unanswered by a process that left as announced."""
         self.unanswered.clear()
--- a/src/currantcart/proxy/targets/target_exchange.py
+++ b/src/currantcart/proxy/targets/target_exchange.py
@@ -31,11 +31,12 @@
     def mark_unreachable(self, *, refused: bool) -> None:
         """Stops admission to a target that accepts no connections."""
 
-    def record_unanswered(
-        self, job: job_module.Job, *, connection_lost: bool
-    ) -> None:
+    def record_unanswered(self, job: job_module.Job) -> None:
         """Records a request that left the target without an answer."""
 
+    def report_lost(self, job: job_module.Job) -> None:
+        """Replies that the outcome is unknown, since the connection ended."""
+
     def record_sent(self, now: float) -> None:
         """Counts a request that is sent to the target."""
 
@@ -202,7 +203,9 @@
             connection.abort()
             self.end_work(job, now, completed=False)
             self.slots.free(job)
-            self.report_lost(job, "answer_not_sealed")
+            reply, job.reply = job.reply, None
+            if reply is not None:
+                reply.lost("answer_not_sealed")
             return True
         if response.status != job_module.MISDIRECTED:
             # Another process may have taken over the target's address.
@@ -239,7 +242,7 @@
         """Ends a request whose connection ended before a complete response."""
         job.connection = None
         self.end_work(job, self.context.now, completed=False)
-        self.slots.record_unanswered(job, connection_lost=True)
+        self.slots.record_unanswered(job)
         self.slots.free(job)
         self.context.log.event(
             "answer_lost",
@@ -248,13 +251,7 @@
             reason=reason,
             held_ms=round(self.context.now - job.handed_at),
         )
-        self.report_lost(job, "answer_lost")
-
-    def report_lost(self, job: job_module.Job, code: str) -> None:
-        """Replies that the outcome of a request is unknown."""
-        reply, job.reply = job.reply, None
-        if reply is not None:
-            reply.lost(code)
+        self.slots.report_lost(job)
 
     def abort(self, job: job_module.Job) -> None:
         """Aborts the connection that carries a request.
@@ -267,7 +264,7 @@
             job.connection = None
             now = self.context.now
             self.end_work(job, now, completed=False)
-            self.slots.record_unanswered(job, connection_lost=False)
+            self.slots.record_unanswered(job)
             if self.context.settings.placement.by_completion:
                 self.work_by_kind.record_cancelled(
                     job.opening.kind, now - job.handed_at, now
--- a/src/currantcart/telemetry/definitions.py
+++ b/src/currantcart/telemetry/definitions.py
@@ -41,6 +41,10 @@
         "Requests that the retry budget of their service counts",
         ["service"],
     ),
+    "quarantine_refusals": (
+        "Requests not sent since too many targets have ended under them",
+        ["service"],
+    ),
     "guard_refusals": ("Requests refused beside the target", ["code"]),
     "handed_back": ("Waiting requests handed back, by cause", ["cause"]),
     "handed_back_ended": (
@@ -115,6 +119,8 @@
     "slots": "Requests that the target is given at once",
     "target_limit": "Requests per second that the target accepts, if limited",
     "pressure": "Part of the demand on the target that has to go",
+    "requests_suspected": "Requests under which a target has ended",
+    "requests_quarantined": "Requests that are sent to no target",
     "rate_waiting": "Requests that wait for a token of their rate",
     "rates_exhausted": "Workspaces that have come to the end of their rate",
     "budgets_exhausted": "Services whose repeats are used up",
--- a/tests/fakes/waves.py
+++ b/tests/fakes/waves.py
@@ -193,7 +193,7 @@
         del at_target, retry_after_ms
         self.world.refuse(self.request, self.place, code)
 
-    def lost(self, code: str) -> None:
+    def lost(self, code: str, *, end_number: int = 0) -> None:
         raise NotImplementedError
 
 
