--- a/src/currantcart/cli/base.py
+++ b/src/currantcart/cli/base.py
@@ -118,6 +118,8 @@
     address: str,
     path: str,
     read: Callable[[aiohttp.ClientResponse], Awaitable[Value]],
+    *,
+    method: str = "GET",
 ) -> Value:
     """Requests a page from a port of a node.
 
@@ -125,6 +127,7 @@
       address: Address of the port.
       path: Path of the page.
       read: Reads the body of the response.
+      method: HTTP method.
 
     Raises:
       errors.CurrantcartError: The node did not respond.
@@ -133,7 +136,7 @@
     try:
         async with (
             aiohttp.ClientSession(timeout=timeout) as session,
-            session.get(f"http://{address}{path}") as response,
+            session.request(method, f"http://{address}{path}") as response,
         ):
             return await read(response)
     except (aiohttp.ClientError, TimeoutError, OSError) as error:
--- a/src/currantcart/cli/proxy.py
+++ b/src/currantcart/cli/proxy.py
@@ -4,19 +4,24 @@
 
 import asyncio
 import pathlib
+import urllib.parse
 from collections.abc import Iterator
-from typing import ClassVar
+from typing import ClassVar, TypeVar
 
-from cleo.helpers import argument
+import msgspec
+from cleo.helpers import argument, option
 from cleo.io.inputs.argument import Argument
 from cleo.io.inputs.option import Option
 
 from currantcart import errors, files
 from currantcart.cli import base, output
 from currantcart.platform import config
+from currantcart.proxy import quarantine_page
 from currantcart.proxy import settings as proxy_settings
 from currantcart.settings import model as settings_model
 
+Value = TypeVar("Value")
+
 METRICS_PREFIX = "currantcart_"
 SHOWN_TYPES = frozenset({"counter", "gauge"})
 PARTS: dict[str, tuple[str, ...]] = {
@@ -25,8 +30,16 @@
     "placement": ("placed",),
     "hand-back": ("handed_back",),
     "relays": ("relay", "digest"),
+    "quarantine": ("target_ends", "quarantine_", "requests_"),
 }
 """Prefixes of the names of the metrics of each part."""
+QUARANTINE_COLUMNS = [
+    "fingerprint",
+    "state",
+    "targets",
+    "ended s ago",
+    "left s",
+]
 SHOW_COLUMNS = ["part", "metric", "labels", "value"]
 
 
@@ -100,6 +113,21 @@
     return sorted(rows(), key=lambda row: (order.index(row[0]), row[1:3]))
 
 
+def checked_address(address: str) -> str:
+    """Returns an address that is given as an argument.
+
+    Raises:
+      base.UsageError: It is invalid.
+    """
+    try:
+        settings_model.check_address(address)
+    except ValueError as error:
+        raise base.UsageError(
+            f"address: found {address!r}, allowed: {error}"
+        ) from error
+    return address
+
+
 class ProxyShowCommand(base.BaseCommand):
     """Shows the decisions that a running node has counted."""
 
@@ -117,13 +145,7 @@
           base.UsageError: The address is invalid.
           errors.CurrantcartError: The node did not respond with metrics.
         """
-        address = self.argument("address")
-        try:
-            settings_model.check_address(address)
-        except ValueError as error:
-            raise base.UsageError(
-                f"address: found {address!r}, allowed: {error}"
-            ) from error
+        address = checked_address(self.argument("address"))
         text = asyncio.run(
             base.fetch(address, "/metrics", lambda response: response.text())
         )
@@ -140,6 +162,89 @@
         return 0
 
 
+class ProxyQuarantineCommand(base.BaseCommand):
+    """Shows the requests under which targets have ended, or clears one."""
+
+    name = "proxy quarantine"
+    description = "Shows or clears requests under which targets have ended."
+    arguments: ClassVar[list[Argument]] = [
+        argument("address", "Metrics address of a node.")
+    ]
+    options: ClassVar[list[Option]] = [
+        option(
+            "clear",
+            description="Fingerprint of the request to clear at all nodes.",
+            flag=False,
+        ),
+        base.JSON_OPTION,
+    ]
+
+    def handle(self) -> int:
+        """Asks the node and prints its answer."""
+        address = checked_address(self.argument("address"))
+        shown = self.option("clear")
+        if shown is None:
+            found = quarantine_request(
+                address, "", "GET", list[quarantine_page.Row]
+            )
+            output.table(self, QUARANTINE_COLUMNS, list(map(cells, found)))
+            return 0
+        query = "?" + urllib.parse.urlencode({"fingerprint": shown})
+        result = quarantine_request(
+            address,
+            query,
+            quarantine_page.CLEAR_METHOD,
+            quarantine_page.Cleared,
+        )
+        text = "cleared" if result.cleared else "no target has ended under it"
+        output.result(self, f"{shown}: {text}", cleared=result.cleared)
+        return 0 if result.cleared else 1
+
+
+def quarantine_request(
+    address: str, query: str, method: str, expected: type[Value]
+) -> Value:
+    """Requests the quarantine page of a node and decodes it.
+
+    Args:
+      address: Metrics address of the node.
+      query: Query of the request, with its question mark; may be empty.
+      method: HTTP method.
+      expected: Type of the answer.
+
+    Raises:
+      errors.CurrantcartError: The node did not answer with the page.
+    """
+    body = asyncio.run(
+        base.fetch(
+            address,
+            quarantine_page.PATH + query,
+            lambda response: response.read(),
+            method=method,
+        )
+    )
+    try:
+        return msgspec.json.decode(body, type=expected)
+    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        raise errors.CurrantcartError(
+            errors.Code.PEER_UNREACHABLE,
+            errors.Step.COMMAND,
+            f"no quarantine page: {body[:80].decode(errors='replace')!r}",
+            peer=address,
+        ) from error
+
+
+def cells(row: quarantine_page.Row) -> list[str]:
+    """Returns the cells of one request in the table."""
+    return [
+        row.fingerprint,
+        row.state,
+        ",".join(row.targets),
+        f"{row.ended_seconds_ago:g}",
+        f"{row.left_seconds:g}",
+    ]
+
+
 class ConfigCheckCommand(base.BaseCommand):
     """Checks the configuration of a platform's operator."""
 
--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -13,7 +13,13 @@
 from currantcart.call import quarantine
 from currantcart.fleet import digest, evacuation, target_record
 from currantcart.proxy import context as proxy_context
-from currantcart.proxy import control, shutdown, state_log, statuses
+from currantcart.proxy import (
+    control,
+    quarantine_page,
+    shutdown,
+    state_log,
+    statuses,
+)
 from currantcart.proxy import settings as proxy_settings
 from currantcart.proxy.callers import frontend
 from currantcart.proxy.requests import intake, outbound
@@ -271,12 +277,16 @@
     async def metrics(
         self, request: control.ControlRequest
     ) -> control.ControlResponse:
-        """Returns the metrics in the Prometheus text format."""
+        """Returns the metrics in the Prometheus text format.
+
+        The same port shows operators the requests under which targets ended.
+        """
+        if request.path.partition("?")[0] == quarantine_page.PATH:
+            return quarantine_page.answer(self.context, request)
         # The client library takes a fifth of a node's start to import, and
         # most nodes are never scraped.
         from currantcart.telemetry import exposition
 
-        del request
         text = exposition.render(self.context.counts)
         return control.ControlResponse(200, text, "text/plain; version=0.0.4")
 
--- a/src/currantcart/run.py
+++ b/src/currantcart/run.py
@@ -47,6 +47,7 @@
     proxy.ProxyCommand,
     proxy.ProxyCheckCommand,
     proxy.ProxyShowCommand,
+    proxy.ProxyQuarantineCommand,
     proxy.ConfigCheckCommand,
 )
 
--- a/tests/proxy/test_operations_page.py
+++ b/tests/proxy/test_operations_page.py
@@ -12,6 +12,7 @@
 from currantcart.admission import occupancy
 from currantcart.proxy import settings as proxy_settings
 from currantcart.telemetry import timeline
+from tests.fakes import ends as ends_module
 from tests.fakes import mesh as fake_mesh
 
 PAGE = pathlib.Path(__file__).parents[2] / "docs" / "OPERATIONS.md"
@@ -100,3 +101,29 @@
     assert lines["request_rejected"].values["code"] == "rate_exceeded"
     assert lines["rate_refused"].values["workspace"] == "mill"
     assert lines["rate_refused"].values["waited_ms"] == "0"
+
+
+async def test_a_request_that_ends_its_targets(mesh: fake_mesh.Mesh) -> None:
+    ends = await ends_module.add_targets(
+        mesh, 4, is_fatal=ends_module.with_path("/pay/fatal")
+    )
+    front = await mesh.add("c", service="other")
+    await mesh.settle()
+    for number in range(4):
+        data = fake_mesh.request(
+            "/pay/fatal", method="POST", request_id=f"fee{number}"
+        )
+        await mesh.ask(front, data)
+        await mesh.settle(0.2)
+    assert explain(mesh, "fee0")["ended_under"].values["target"] in ends.ended
+    failed = explain(mesh, "fee3")["request_failed"]
+    assert failed.values["code"] == "request_quarantined"
+    page = PAGE.read_text()
+    lines = filter(None, map(timeline.parse, mesh.lines))
+    found = {line.event: line for line in lines if line.instance == "c"}
+    for event in ("request_suspected", "request_quarantined"):
+        assert event in page
+        assert found[event].values["targets"].split(",")[0] == ends.ended[0]
+    assert found["request_quarantined"].values["targets"] == ",".join(
+        ends.ended
+    )
