--- a/src/currantcart/cli/proxy.py
+++ b/src/currantcart/cli/proxy.py
@@ -13,7 +13,7 @@
 from cleo.io.inputs.argument import Argument
 from cleo.io.inputs.option import Option
 
-from currantcart import errors, files
+from currantcart import decoding, errors, files
 from currantcart.cli import base, output
 from currantcart.platform import config
 from currantcart.proxy import quarantine_page
@@ -225,7 +225,7 @@
     )
     try:
         return msgspec.json.decode(body, type=expected)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+    except decoding.ERRORS as error:
         raise errors.CurrantcartError(
             errors.Code.PEER_UNREACHABLE,
             errors.Step.COMMAND,
--- a/src/currantcart/platform/config.py
+++ b/src/currantcart/platform/config.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from currantcart import errors
+from currantcart import decoding, errors
 from currantcart.catalog import model
 
 MS = 1_000.0
@@ -147,7 +147,7 @@
             list[TenantRecord],
             strict=False,
         )
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+    except decoding.ERRORS as error:
         raise errors.CurrantcartError(
             errors.Code.SERVICES_INVALID, errors.Step.CONFIG, str(error)
         ) from error
--- a/src/currantcart/platform/reports.py
+++ b/src/currantcart/platform/reports.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from currantcart import errors
+from currantcart import decoding, errors
 from currantcart.fleet import target_record
 from currantcart.platform import names
 
@@ -49,7 +49,10 @@
     Raises:
       errors.CurrantcartError: The report is not valid or names no target.
     """
-    parts = urllib.parse.urlsplit(path)
+    try:
+        parts = urllib.parse.urlsplit(path)
+    except ValueError as error:
+        raise invalid(f"not a path: {path[:80]}") from error
     query = urllib.parse.parse_qs(parts.query)
     call, target_id = query.get("call", [""])[0], query.get("of", [""])[0]
     if parts.path != names.REPORT_PATH or not target_id:
@@ -71,7 +74,7 @@
                 sequence=0,
                 phase=target_record.Phase.LEFT,
             )
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+    except decoding.ERRORS as error:
         raise invalid(str(error)) from error
     raise invalid(f"unknown call {call[:40]!r}")
 
--- a/src/currantcart/platform/store.py
+++ b/src/currantcart/platform/store.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from currantcart import clock as clock_module
+from currantcart import decoding
 from currantcart.http1 import pool
 from currantcart.store import leased, port
 
@@ -231,7 +232,7 @@
             )
         try:
             return msgspec.json.decode(response.body, type=kind)
-        except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        except decoding.ERRORS as error:
             raise port.StoreOutcomeUnknown(
                 str(error), peer=self.peer
             ) from error
--- a/src/currantcart/proxy/settings.py
+++ b/src/currantcart/proxy/settings.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from currantcart import errors
+from currantcart import decoding, errors
 
 MS = 1_000.0
 
@@ -225,7 +225,7 @@
     code = errors.Code.SETTINGS_INVALID
     try:
         values = msgspec.json.decode(text)
-    except msgspec.DecodeError:
+    except decoding.ERRORS:
         # The JSONC parser is slow to import and rarely needed: files that a
         # platform renders seldom contain comments.
         from currantcart.settings import jsonc
--- a/src/currantcart/proxy/streams/frames.py
+++ b/src/currantcart/proxy/streams/frames.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from currantcart import errors
+from currantcart import decoding, errors
 
 CHUNK_BYTES = 64 * 1024
 
@@ -406,7 +406,7 @@
     """
     try:
         return DECODER.decode(data)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+    except decoding.ERRORS as error:
         raise invalid(str(error)) from error
 
 
--- a/src/currantcart/proxy/streams/registration.py
+++ b/src/currantcart/proxy/streams/registration.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from currantcart import errors
+from currantcart import decoding, errors
 from currantcart.fleet import target_record
 from currantcart.proxy import context as proxy_context
 from currantcart.proxy.streams import frames
@@ -198,7 +198,7 @@
         """Decodes an entry; returns None and logs it if it is malformed."""
         try:
             return ENTRY.decode(item.value)
-        except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        except decoding.ERRORS as error:
             self.context.log.event(
                 "entry_unreadable", key=item.key, detail=str(error)
             )
--- a/tests/platform/test_config.py
+++ b/tests/platform/test_config.py
@@ -76,3 +76,10 @@
     with pytest.raises(errors.CurrantcartError) as raised:
         config.parse(text)
     assert raised.value.step is errors.Step.CONFIG
+
+
+def test_a_deeply_nested_document_is_invalid() -> None:
+    """Guards against a document that ends the reader of the configuration."""
+    deep = b"[" * 50_000 + b"]" * 50_000
+    with pytest.raises(errors.CurrantcartError):
+        config.parse(b'{"x":' + deep + b"," + fake_mesh.document(7)[1:])
--- a/tests/platform/test_reports.py
+++ b/tests/platform/test_reports.py
@@ -73,3 +73,20 @@
     with pytest.raises(errors.CurrantcartError) as raised:
         reports.parse(path, text)
     assert raised.value.code is errors.Code.BAD_REQUEST
+
+
+@pytest.mark.parametrize(
+    ("path", "content"),
+    [
+        (HEARTBEAT, b'{"x":' + b"[" * 50_000 + b"]" * 50_000 + b"}"),
+        (LEAVE, b'{"x":' + b"[" * 50_000 + b"]" * 50_000 + b"}"),
+        ("//[x?call=instances.heartbeat&of=t1", b"{}"),
+    ],
+    ids=["heartbeat", "leave", "path"],
+)
+def test_a_report_that_no_parser_accepts_is_invalid(
+    path: str, content: bytes
+) -> None:
+    """Guards against a report that gets no answer, and ends its task."""
+    with pytest.raises(errors.CurrantcartError):
+        reports.parse(path, content)
--- a/tests/proxy/streams/test_framing.py
+++ b/tests/proxy/streams/test_framing.py
@@ -201,3 +201,10 @@
         made.add(opening(number))
     made.take_packed()
     assert made.compressor is not None
+
+
+def test_a_deeply_nested_frame_is_invalid() -> None:
+    """Guards against a frame that raises what no reader of a stream handles."""
+    nested = b"\x92\x0c" + b"\x91" * 50_000 + b"\x00"
+    with pytest.raises(errors.StreamError):
+        frames.decode_frame(memoryview(nested))
--- a/tests/proxy/test_node.py
+++ b/tests/proxy/test_node.py
@@ -11,6 +11,9 @@
 from currantcart.store import leased, port
 from tests.fakes import mesh as fake_mesh
 
+DEEP = b"[" * 50_000 + b"]" * 50_000
+"""Valid JSON that is nested more deeply than a parser may recurse."""
+
 
 async def test_a_request_is_served_by_the_local_target(
     mesh: fake_mesh.Mesh,
@@ -184,7 +187,14 @@
 
 @pytest.mark.parametrize(
     "value",
-    [b"\xff\x00", b"{}", b'{"member": 7}', b'{"member": {"instance": 1}}'],
+    [
+        b"\xff\x00",
+        b"{}",
+        b'{"member": 7}',
+        b'{"member": {"instance": 1}}',
+        b'{"x":' + DEEP + b"}",
+    ],
+    ids=["bytes", "empty", "number", "type", "deep"],
 )
 async def test_a_malformed_entry_is_skipped(
     mesh: fake_mesh.Mesh, value: bytes
