--- a/src/currantcart/call/quarantine.py
+++ b/src/currantcart/call/quarantine.py
@@ -94,9 +94,9 @@
         return [end for end in self.ends if end.number != UNCONFIRMED]
 
 
-@dataclasses.dataclass(slots=True)
-class Quarantine:
-    """What one node knows of the requests under which targets have ended.
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """Limits that an operator sets.
 
     Attributes:
       ends_max: Ends after which a request is quarantined; 0 for never.
@@ -104,37 +104,50 @@
       suspect_ms: Time after an end for which a request remains suspect.
       quarantine_ms: Time after the last end until a quarantined request gets
         another trial.
+    """
+
+    ends_max: int
+    requests_max: int
+    suspect_ms: float
+    quarantine_ms: float
+
+
+@dataclasses.dataclass(slots=True)
+class Quarantine:
+    """What one node knows of the requests under which targets have ended.
+
+    Attributes:
+      limits: When a request is suspect or quarantined, and for how long.
       records: The requests, by fingerprint.
       answered: When requests were last answered, by fingerprint; the most
         recent last.
+      assumed: Targets with an end that is only assumed.
       sequence: Number of changes.
       own_sequence: Number of the last change that this node has seen itself.
     """
 
-    ends_max: int
-    requests_max: int
-    suspect_ms: float
-    quarantine_ms: float
+    limits: Limits
     records: dict[int, Record] = dataclasses.field(default_factory=dict)
     answered: collections.OrderedDict[int, float] = dataclasses.field(
         default_factory=collections.OrderedDict
     )
+    assumed: set[str] = dataclasses.field(default_factory=set)
     sequence: int = 0
     own_sequence: int = 0
 
     def verdict(self, fingerprint: int, now: float) -> Verdict:
         """Returns how a request may be sent."""
         record = self.records.get(fingerprint)
-        if record is None or not record.ends:
+        if record is None or not record.ends or not self.limits.ends_max:
             return Verdict.CLEAR
         count, age = len(record.ends), now - record.ends[-1].at
-        if count >= self.ends_max:
-            if age < self.quarantine_ms:
+        if count >= self.limits.ends_max:
+            if age < self.limits.quarantine_ms:
                 return Verdict.QUARANTINED
             return Verdict.LAST_TRIAL
-        if age >= self.suspect_ms:
+        if age >= self.limits.suspect_ms:
             return Verdict.CLEAR
-        if count == self.ends_max - 1:
+        if count == self.limits.ends_max - 1:
             return Verdict.LAST_TRIAL
         return Verdict.SUSPECT
 
@@ -143,7 +156,7 @@
         record = self.records.get(fingerprint)
         if record is None or not record.ends:
             return 0.0
-        return max(0.0, record.ends[-1].at + self.quarantine_ms - now)
+        return max(0.0, record.ends[-1].at + self.limits.quarantine_ms - now)
 
     def was_answered(self, fingerprint: int, now: float) -> bool:
         """Returns whether this node knows of a recent answer to a request."""
@@ -163,7 +176,7 @@
         Returns:
           Whether it was not known before, and counts.
         """
-        if not self.ends_max:
+        if not self.limits.ends_max:
             return False
         record = self.records.get(fingerprint)
         if record is None:
@@ -180,14 +193,16 @@
         kept.append(end)
         kept.sort(key=lambda known: known.at)
         record.ends = kept[-ENDS_KEPT:]
+        if end.number == UNCONFIRMED:
+            self.assumed.add(end.target_id)
         self.count_change(record, now, own=own)
         return True
 
     def keep_ms(self, count: int) -> float:
         """Returns how long ends are kept, by how many there are."""
-        if count >= self.ends_max:
-            return 2 * self.quarantine_ms
-        return self.suspect_ms
+        if count >= self.limits.ends_max:
+            return 2 * self.limits.quarantine_ms
+        return self.limits.suspect_ms
 
     def record_answer(self, fingerprint: int, now: float) -> bool:
         """Records a complete answer; returns whether it cleared a request."""
@@ -230,6 +245,9 @@
 
     def clear_assumed(self, target_id: str) -> None:
         """Clears all requests of an assumed end: the target lives."""
+        if target_id not in self.assumed:
+            return
+        self.assumed.discard(target_id)
         for record in self.records.values():
             record.ends = [
                 end
@@ -247,7 +265,7 @@
 
     def make_room(self) -> None:
         """Drops the record with the fewest ends, if there is no room."""
-        if len(self.records) < self.requests_max:
+        if len(self.records) < self.limits.requests_max:
             return
         least = min(
             self.records,
@@ -262,6 +280,13 @@
             last = record.ends[-1].at if record.ends else record.changed_at
             if now - last >= self.keep_ms(len(record.ends)):
                 del self.records[fingerprint]
+        if self.assumed:
+            self.assumed = {
+                end.target_id
+                for record in self.records.values()
+                for end in record.ends
+                if end.number == UNCONFIRMED
+            }
 
     def changed_since(self, sequence: int) -> Iterator[tuple[int, Record]]:
         """Yields the records that have changed since a sequence number."""
--- a/src/currantcart/proxy/context.py
+++ b/src/currantcart/proxy/context.py
@@ -69,8 +69,12 @@
 
     def __post_init__(self) -> None:
         self.started_at = self.now
+        self.quarantine = quarantine_module.Quarantine(self.quarantine_limits())
+
+    def quarantine_limits(self) -> quarantine_module.Limits:
+        """Returns the limits of the quarantine that the settings name."""
         limits = self.settings.quarantine
-        self.quarantine = quarantine_module.Quarantine(
+        return quarantine_module.Limits(
             ends_max=limits.ends_max,
             requests_max=limits.requests_max,
             suspect_ms=limits.suspect_seconds * clock_module.MS_PER_SECOND,
@@ -78,6 +82,10 @@
             * clock_module.MS_PER_SECOND,
         )
 
+    def use_quarantine_limits(self) -> None:
+        """Applies changed limits of the quarantine to what is known."""
+        self.quarantine.limits = self.quarantine_limits()
+
     @property
     def now(self) -> float:
         """Current time of the node's clock, in milliseconds."""
--- a/src/currantcart/proxy/evidence.py
+++ b/src/currantcart/proxy/evidence.py
@@ -6,6 +6,15 @@
 from currantcart.call import quarantine
 from currantcart.proxy import context as proxy_context
 
+LOGGED = frozenset(
+    {quarantine.Verdict.LAST_TRIAL, quarantine.Verdict.QUARANTINED}
+)
+"""Verdicts that each node logs.
+
+Dozens of requests run at a target that ends, and most never see another end;
+the node beside it logs them.
+"""
+
 
 def record_end(
     context: proxy_context.Context,
@@ -31,7 +40,7 @@
     if not known.record_end(fingerprint, end, now, own=own):
         return
     after = known.verdict(fingerprint, now)
-    if after is before:
+    if after is before or after not in LOGGED:
         return
     ends = known.records[fingerprint].ends
     context.log.event(
@@ -49,7 +58,10 @@
     """Records a complete answer to a request, which clears it."""
     if fingerprint == fingerprints.NONE:
         return
-    if context.quarantine.record_answer(fingerprint, context.now):
+    known, now = context.quarantine, context.now
+    before = known.verdict(fingerprint, now)
+    known.record_answer(fingerprint, now)
+    if before in LOGGED:
         log_cleared(context, fingerprint, cause="answered")
 
 
@@ -68,8 +80,10 @@
       keys: The ends; None for all that are known.
       cause: Who or what clears it, for the log.
     """
-    cleared = context.quarantine.clear(fingerprint, context.now, keys)
-    if cleared:
+    known, now = context.quarantine, context.now
+    before = known.verdict(fingerprint, now)
+    cleared = known.clear(fingerprint, now, keys)
+    if cleared and before in LOGGED:
         log_cleared(context, fingerprint, cause=cause)
     return cleared
 
--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -482,6 +482,7 @@
         self.outbound.retries.use_bounds(settings.bounds)
         self.guard.warm_up.configure()
         self.guard.queue.use_fair(fair=settings.fair_shares.enabled)
+        self.context.use_quarantine_limits()
         self.context.log.event(
             "settings_read",
             changed=settings != before,
--- a/src/currantcart/proxy/requests/placement.py
+++ b/src/currantcart/proxy/requests/placement.py
@@ -52,6 +52,7 @@
             self.context, call, reachable.reachable(call.service)
         )
         if suspected is not None:
+            call.expected_ms = 0.0
             return suspected
         forecast = None
         far_max = reachability.CANDIDATES_FAR
--- a/src/currantcart/proxy/targets/guard.py
+++ b/src/currantcart/proxy/targets/guard.py
@@ -447,6 +447,10 @@
             self.queue.retry_after_ms(now),
             self.warm_up.slow_start.wait_ms(now),
         )
+        if code == trials.QUARANTINED:
+            after = self.context.quarantine.left_ms(
+                job.opening.fingerprint, now
+            )
         self.context.counts.add("guard_refusals", code)
         self.context.log.event(
             "refused_at_target" if at_target else "refused_by_guard",
--- a/src/currantcart/proxy/targets/target_end.py
+++ b/src/currantcart/proxy/targets/target_end.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 from collections.abc import Callable, Iterable
 
@@ -64,7 +65,9 @@
         self.connections = connections
         self.running = running
         self.on_refused = on_refused
-        self.unanswered: list[Unanswered] = []
+        self.unanswered: collections.deque[Unanswered] = collections.deque(
+            maxlen=UNANSWERED_MAX
+        )
         self.checking = False
         self.waiting: list[job_module.Job] = []
 
@@ -72,23 +75,17 @@
         """Records a request whose connection ended before its answer."""
         if job.counted_at_end:
             return
-        now = self.context.now
-        self.unanswered = [
-            item
-            for item in self.unanswered[-UNANSWERED_MAX:]
-            if now - item.at < UNANSWERED_MS
-        ]
         opening = job.opening
         self.unanswered.append(
-            Unanswered(opening.request_id, opening.fingerprint, now)
+            Unanswered(
+                opening.request_id, opening.fingerprint, self.context.now
+            )
         )
 
     def record_answer(self, job: job_module.Job) -> None:
         """Records an answer: the process lived when it got the request."""
-        if self.unanswered:
-            self.unanswered = [
-                item for item in self.unanswered if item.at >= job.handed_at
-            ]
+        while self.unanswered and self.unanswered[0].at < job.handed_at:
+            self.unanswered.popleft()
 
     def report_lost(self, job: job_module.Job, *, is_up: bool) -> None:
         """Tells the sender that an answer is lost, once it is known why.
@@ -190,7 +187,7 @@
         found = [
             item for item in self.unanswered if now - item.at < UNANSWERED_MS
         ]
-        self.unanswered = []
+        self.unanswered.clear()
         for job in self.waiting:
             self.count_at_end(job, end)
         for job in self.running():
--- a/tests/call/test_quarantine.py
+++ b/tests/call/test_quarantine.py
@@ -16,10 +16,12 @@
 
 def new(*, ends_max: int = 3, requests_max: int = 16) -> quarantine.Quarantine:
     return quarantine.Quarantine(
-        ends_max=ends_max,
-        requests_max=requests_max,
-        suspect_ms=SUSPECT_MS,
-        quarantine_ms=QUARANTINE_MS,
+        quarantine.Limits(
+            ends_max=ends_max,
+            requests_max=requests_max,
+            suspect_ms=SUSPECT_MS,
+            quarantine_ms=QUARANTINE_MS,
+        )
     )
 
 
--- a/tests/proxy/requests/test_quarantine.py
+++ b/tests/proxy/requests/test_quarantine.py
@@ -5,6 +5,8 @@
 import asyncio
 from collections.abc import Callable
 
+import msgspec
+
 from bench.standins import http_target
 from currantcart.call import fingerprint, quarantine
 from currantcart.platform import names
@@ -379,3 +381,63 @@
     for place in mesh.places.values():
         verdict = verdict_at(place, "/read/fatal")
         assert verdict is quarantine.Verdict.QUARANTINED
+
+
+async def test_a_guard_refuses_what_a_node_without_the_evidence_sends(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """Guards against a node that has not heard of a quarantine yet."""
+    place = await mesh.add("t0")
+    (caller,) = await add_callers(mesh, 1)
+    await mesh.settle()
+    known, now = place.node.context.quarantine, mesh.clock.now()
+    for number in range(ENDS_MAX):
+        end = quarantine.End(f"x{number}", 1, now)
+        known.record_end(of_read("/read/1"), end, now)
+    assert verdict_at(caller, "/read/1") is quarantine.Verdict.CLEAR
+    reply = await mesh.ask(caller, fake_mesh.request("/read/1"))
+    assert (reply.status, reply.body) == (503, b"request_quarantined\n")
+    assert float(reply.headers["retry-after"]) >= RETRY_AFTER_SECONDS_MIN
+    assert not place.target.seen
+
+
+async def test_changed_limits_apply_to_what_is_known(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """Guards against a quarantine that an operator can't turn off."""
+    place = await mesh.add("t0")
+    await mesh.settle()
+    context = place.node.context
+    for number in range(ENDS_MAX):
+        end = quarantine.End(f"x{number}", 1, context.now)
+        context.quarantine.record_end(of_read("/read/1"), end, context.now)
+    assert verdict_at(place, "/read/1") is quarantine.Verdict.QUARANTINED
+    place.node.use_settings(
+        msgspec.structs.replace(
+            context.settings, quarantine=proxy_settings.Quarantine(ends_max=0)
+        )
+    )
+    assert verdict_at(place, "/read/1") is quarantine.Verdict.CLEAR
+
+
+async def test_one_target_runs_one_request_in_its_last_trial_at_a_time(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """Guards against an end that is held against two requests at once."""
+    place = await mesh.add("t0")
+    place.target.work_seconds = 0.5
+    await mesh.settle()
+    context = place.node.context
+    for path in ("/read/1", "/read/2"):
+        for number in range(ENDS_MAX - 1):
+            end = quarantine.End(f"x{number}", 1, context.now)
+            context.quarantine.record_end(of_read(path), end, context.now)
+    replies = await asyncio.gather(
+        *(
+            mesh.ask(place, fake_mesh.request(path, request_id=path[-1]))
+            for path in ("/read/1", "/read/2", "/read/3")
+        )
+    )
+    assert [reply.status for reply in replies] == [200, 503, 200]
+    assert replies[1].body == b"trial_running\n"
+    assert "retry-after" in replies[1].headers
