--- a/src/currantcart/proxy/callers/exchange.py
+++ b/src/currantcart/proxy/callers/exchange.py
@@ -7,7 +7,7 @@
 from currantcart.http1 import status
 from currantcart.proxy.requests import call as call_module
 from currantcart.proxy.requests import intake
-from currantcart.workspace import rate_queue
+from currantcart.workspace import rate_line
 
 
 class AnswerWriter(Protocol):
@@ -63,7 +63,7 @@
         self.size = 0
         self.complete = False
         self.call: call_module.Call | None = None
-        self.waiter: rate_queue.Waiter | None = None
+        self.waiter: rate_line.Waiter | None = None
         self.answer: bytes | None = None
         self.started = False
         self.close = False
--- a/src/currantcart/proxy/callers/rate_wait.py
+++ b/src/currantcart/proxy/callers/rate_wait.py
@@ -12,7 +12,7 @@
 from currantcart.proxy import context as proxy_context
 from currantcart.proxy.callers import exchange as exchange_module
 from currantcart.proxy.requests import intake
-from currantcart.workspace import quota, rate_queue, response_times
+from currantcart.workspace import quota, rate_line, rate_queue, response_times
 
 MS = 1_000.0
 DRAINING_RETRY_MS = intake.NOT_READY_RETRY_MS
@@ -61,7 +61,7 @@
             bytes_max=bounds.bytes_max,
         )
         self.times = response_times.ResponseTimes()
-        self.exchanges: dict[rate_queue.Waiter, exchange_module.Exchange] = {}
+        self.exchanges: dict[rate_line.Waiter, exchange_module.Exchange] = {}
         self.timer: asyncio.TimerHandle | None = None
 
     def use_settings(self) -> None:
@@ -100,15 +100,15 @@
         exchange: exchange_module.Exchange,
         request: intake.Request,
         now: float,
-    ) -> rate_queue.Waiter:
+    ) -> rate_line.Waiter:
         """Returns what the queue has to know of a request."""
         route, received_at = request.route, request.head_received_at
         deadline_ms = min(request.deadline_ms, route.timeout_ms)
-        return rate_queue.Waiter(
+        return rate_line.Waiter(
             workspace=request.workspace,
             rank=request.priority,
             queued_at=now,
-            grant_by=rate_queue.latest_grant(
+            grant_by=rate_line.latest_grant(
                 now,
                 received_at=received_at,
                 deadline_ms=deadline_ms,
@@ -173,7 +173,7 @@
         self.schedule()
 
     def remove(
-        self, exchange: exchange_module.Exchange, waiter: rate_queue.Waiter
+        self, exchange: exchange_module.Exchange, waiter: rate_line.Waiter
     ) -> None:
         """Removes the link between a request and its exchange."""
         exchange.waiter = None
--- a/src/currantcart/workspace/rate_queue.py
+++ b/src/currantcart/workspace/rate_queue.py
@@ -18,45 +18,16 @@
 import enum
 import random
 
-from currantcart.workspace import quota
+from currantcart.workspace import quota, rate_line
 
-GUARANTEED_SHARE = 0.1
-"""Share of the tokens that each rank gets, however many others want them."""
-GUARANTEED_SUM_MAX = 0.5
-"""Largest sum of the guaranteed shares of all ranks."""
 CREDIT_MAX = 2.0
 PROGRESS_MAX = 2.0
-RESERVE_OF_BURST = 0.3
-"""Share of the burst that is left to more urgent ranks seen recently."""
-SEEN_MS = 3_000.0
-"""Time for which a rank counts as seen; a node of many sees few of them."""
-DEMAND_HALF_LIFE_MS = 1_000.0
-WINDOW_MS = 5_000.0
-TOLERATED_OF_WINDOW = 0.1
-TOLERATED_MIN = 20.0
-"""Requests beyond rate and burst that may run in a window, over all nodes."""
-TOLERATED_SHARE = 0.3
-"""Part of them that waiting requests may use.
-
-With 0.5 and more, many nodes grant on the same tokens, and the debt leaves too
-few tokens for the next seconds.
-"""
-GRANTS_PER_NODE = 4
-"""Grants of each node, before the others know, that need not be paced."""
-SCARCE_NODES = 3.0
-"""Nodes by the tolerated requests above which new requests are paced as well.
-
-At 73 nodes, these are rates of up to 6 per second: 57 requests ran in 5 s at a
-rate of 5 per second, where 53 are allowed. At higher rates, pacing new requests
-costs more than it prevents.
-"""
 CROWDED_REFUSALS = 2.0
 REFUSALS_HALF_LIFE_MS = 10_000.0
 """Refusals at this node that show a demand of many times the rate.
 
 A node of many sees one or two of a workspace that is near its limit.
 """
-ALONE_SHARE = 0.99
 PRESSED_MS = 1_000.0
 """Time for which the demand of a workspace counts as above its limit."""
 FREE_WHILE_PRESSED = 0.5
@@ -65,32 +36,14 @@
 Requests are no longer refused within the limit then. With 1, 16 nodes of which
 5 are partitioned exceed the bound at ten times the rate.
 """
-CONTENTION = 0.5
-"""Part of this node's own rate of grants that limits it near the limit.
-
-Where nodes pace their grants, a token that becomes available goes to another
-node as well. With less, more of the held requests are refused later; with 1,
-nearly nothing waits at nodes with a small share.
-"""
 NEAR_LIMIT_OF_BURST = 0.5
 """Share of the burst below which requests are counted by rank."""
-HOLD_OF_OBJECTIVE = 0.4
-"""Largest share of the objective for which a request waits.
-
-A retry has used up a part of its objective that this node does not know. With
-longer waits, tokens go to retries whose responses are late.
-"""
 HOLD_MARGIN = 1.25
 """Factor on the expected wait of a new request.
 
 A request that is held and then refused has lost the time that its caller could
 have used for a retry, so a doubtful one is refused at once.
 """
-POLL_MS = 20.0
-"""Longest time between two looks at a queue.
-
-Tokens also become available when other nodes return theirs or fall silent.
-"""
 POLL_MS_MIN = 1.0
 PROMISES_MAX = 512
 RETRY_OF_LEFT = 0.32
@@ -116,29 +69,6 @@
     REFUSED = "refused"
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class Waiter:
-    """A request that needs a token.
-
-    Attributes:
-      workspace: Its workspace.
-      rank: Its rank; 0 is the most urgent.
-      queued_at: When it arrived.
-      grant_by: Latest time at which a grant leaves time for its work.
-      expires_at: When its caller gives up.
-      objective_ms: Latency objective of its route.
-      size: Bytes of its body.
-    """
-
-    workspace: str
-    rank: int
-    queued_at: float
-    grant_by: float
-    expires_at: float
-    objective_ms: float
-    size: int = 0
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Outcome:
     """A decision about one request.
@@ -151,211 +81,13 @@
       retry_after_ms: When a refused request may be retried.
     """
 
-    waiter: Waiter
+    waiter: rate_line.Waiter
     decision: Decision
     tokens: float
     ahead: int
     retry_after_ms: float = 0.0
 
 
-@dataclasses.dataclass(slots=True)
-class RankState:
-    """Demand and waiting requests of one rank of a workspace.
-
-    Attributes:
-      waiting: Waiting requests, the earliest `grant_by` first.
-      demand: Requests seen, decayed with `DEMAND_HALF_LIFE_MS`.
-      seen_at: When the last one was seen.
-      credit: Tokens of the guaranteed share that it has not used.
-    """
-
-    waiting: list[Waiter] = dataclasses.field(default_factory=list)
-    demand: float = 0.0
-    seen_at: float = float("-inf")
-    credit: float = 0.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Supply:
-    """Tokens of a workspace, as one node expects them.
-
-    Attributes:
-      left: Tokens left after the others' unreported admissions.
-      burst: Size of the bucket.
-      rate: Tokens per ms over all nodes.
-      share: This node's share of the workspace's admissions, above 0 to 1.
-      nodes: Nodes that may grant tokens.
-      lag_ms: Time until other nodes know of a grant.
-    """
-
-    left: float
-    burst: float
-    rate: float
-    share: float
-    nodes: int
-    lag_ms: float
-
-    def grants_allowed(self) -> float:
-        """Returns how many tokens all nodes may grant before they know it."""
-        return max(0.0, self.left - 1.0) + TOLERATED_SHARE * self.tolerated()
-
-    def tolerated(self) -> float:
-        """Returns how many requests beyond rate and burst may run."""
-        window = self.rate * WINDOW_MS + self.burst
-        return TOLERATED_OF_WINDOW * window + TOLERATED_MIN
-
-    def is_scarce(self) -> bool:
-        """Returns whether a grant at each node would exceed the bound.
-
-        New requests are paced then as well as waiting ones.
-        """
-        return self.nodes > SCARCE_NODES * self.tolerated()
-
-    def is_unpaced(self) -> bool:
-        """Returns whether each node may grant a token as soon as it has one."""
-        if self.share > ALONE_SHARE:
-            return True
-        return GRANTS_PER_NODE * self.nodes <= self.grants_allowed()
-
-    def pace(self) -> float:
-        """Returns the mean number of this node's grants per ms.
-
-        It is this node's share of what all nodes may grant before they know of
-        it, at least twice the rate, and unlimited if no other node uses it.
-        """
-        total = max(2.0 * self.rate, self.grants_allowed() / self.lag_ms)
-        return max(1e-9, total * self.share / (1.0 + 1e-9 - self.share))
-
-
-@dataclasses.dataclass(slots=True)
-class Line:
-    """Requests of one workspace.
-
-    Attributes:
-      ranks: State by rank.
-      promised: Times at which refused callers were told to retry, ascending.
-      updated_at: Time up to which demand and credits are current.
-      reviewed_at: When it was last checked which requests still fit.
-      paced_at: Time up to which `progress` is current.
-      progress: Part of the random time until the next grant that has passed.
-      threshold: Value of `progress` at which the next grant is due.
-      expected_at: When the next grant may be possible.
-      refusals: Refused requests, decayed with `REFUSALS_HALF_LIFE_MS`.
-    """
-
-    ranks: dict[int, RankState] = dataclasses.field(default_factory=dict)
-    promised: list[float] = dataclasses.field(default_factory=list)
-    updated_at: float = 0.0
-    reviewed_at: float = float("-inf")
-    paced_at: float = 0.0
-    progress: float = 0.0
-    threshold: float = 1.0
-    expected_at: float = 0.0
-    refusals: float = 0.0
-
-    def waiting(self) -> int:
-        """Returns the number of waiting requests."""
-        return sum(len(state.waiting) for state in self.ranks.values())
-
-    def ahead_of(self, waiter: Waiter) -> int:
-        """Returns how many requests go before a request, by rank and time."""
-        count = 0
-        for rank, state in self.ranks.items():
-            if rank < waiter.rank:
-                count += len(state.waiting)
-            elif rank == waiter.rank:
-                count += bisect.bisect_right(
-                    state.waiting, waiter.grant_by, key=grant_by
-                )
-        return count
-
-    def reserve(self, rank: int, now: float) -> float:
-        """Returns the share of the burst that a rank leaves to others."""
-        for other, state in self.ranks.items():
-            if other < rank and now - state.seen_at < SEEN_MS:
-                return RESERVE_OF_BURST
-        return 0.0
-
-    def is_above_others(self, rank: int, now: float) -> bool:
-        """Returns whether less urgent ranks were seen recently."""
-        return any(
-            other > rank and now - state.seen_at < SEEN_MS
-            for other, state in self.ranks.items()
-        )
-
-    def urgent_demand(self, rank: int) -> float:
-        """Returns the demand of more urgent ranks, in requests per ms."""
-        seen = sum(
-            state.demand for other, state in self.ranks.items() if other < rank
-        )
-        return seen * 0.693 / DEMAND_HALF_LIFE_MS
-
-
-def grant_by(waiter: Waiter) -> float:
-    """Returns the sort key of waiting requests."""
-    return waiter.grant_by
-
-
-def expected_wait(
-    supply: Supply, line: Line, *, rank: int, ahead: int, now: float
-) -> float:
-    """Returns the expected time until a request gets a token, in ms.
-
-    Args:
-      supply: Tokens of its workspace.
-      line: Requests of its workspace at this node.
-      rank: Its rank.
-      ahead: Requests at this node that go before it.
-      now: Milliseconds of the node's clock.
-    """
-    own_rate = max(1e-9, supply.rate * supply.share)
-    guaranteed = guaranteed_share(line)
-    net = max(guaranteed, 1.0 - line.urgent_demand(rank) / own_rate)
-    available = supply.left - line.reserve(rank, now) * supply.burst
-    missing = max(0.0, 1.0 - available)
-    # The stock in the bucket is this node's to the extent of its share.
-    stock = max(0.0, available - 1.0) * supply.share
-    wait = missing / max(1e-9, supply.rate * net)
-    wait += max(0.0, ahead - stock) / (own_rate * net)
-    if not supply.is_unpaced():
-        left = max(0.0, line.threshold - line.progress)
-        wait += left * (CONTENTION / own_rate if missing else 1 / supply.pace())
-    state = line.ranks.get(rank)
-    if state is None or line.reserve(rank, now) == 0.0:
-        return wait
-    position = min(ahead, len(state.waiting)) + 1.0
-    by_guarantee = max(0.0, 1.0 - supply.left) / max(1e-9, supply.rate)
-    by_guarantee += max(0.0, position - state.credit) / (own_rate * guaranteed)
-    return min(wait, by_guarantee)
-
-
-def guaranteed_share(line: Line) -> float:
-    """Returns the share of the tokens that is guaranteed to each rank."""
-    ranks = max(1, len(line.ranks))
-    return min(GUARANTEED_SHARE, GUARANTEED_SUM_MAX / ranks)
-
-
-def latest_grant(
-    now: float,
-    *,
-    received_at: float,
-    deadline_ms: float,
-    objective_ms: float,
-    work_ms: float,
-) -> float:
-    """Returns until when a new request may wait for a token.
-
-    Args:
-      now: Milliseconds of the node's clock.
-      received_at: When its head was received.
-      deadline_ms: How long its caller waits from then on.
-      objective_ms: Latency objective of its route.
-      work_ms: Time from a grant to the response.
-    """
-    in_time = received_at + min(objective_ms, deadline_ms) - work_ms
-    return min(in_time, now + HOLD_OF_OBJECTIVE * objective_ms)
-
-
 class RateQueue:
     """Requests of one node that wait for tokens of their workspaces.
 
@@ -379,7 +111,7 @@
         self.rng = rng
         self.requests_max = requests_max
         self.bytes_max = bytes_max
-        self.lines: dict[str, Line] = {}
+        self.lines: dict[str, rate_line.Line] = {}
         self.requests = 0
         self.size = 0
 
@@ -432,14 +164,14 @@
         """Returns whether a request lacked a token recently."""
         return now - self.quotas.buckets[workspace].refused_at < PRESSED_MS
 
-    def offer(self, waiter: Waiter, now: float) -> Outcome:
+    def offer(self, waiter: rate_line.Waiter, now: float) -> Outcome:
         """Decides whether a request without a token waits or is refused."""
         line = self.line(waiter.workspace, now)
         supply = self.supply(waiter.workspace, now)
         if supply is None:
             return Outcome(waiter, Decision.GRANTED, 0.0, 0)
         ahead = line.ahead_of(waiter)
-        wait = expected_wait(
+        wait = rate_line.expected_wait(
             supply, line, rank=waiter.rank, ahead=ahead, now=now
         )
         fits = (
@@ -448,13 +180,13 @@
         )
         if not fits or now + wait * HOLD_MARGIN > waiter.grant_by:
             return self.refuse(waiter, line, supply, ahead, now)
-        state = line.ranks.setdefault(waiter.rank, RankState())
-        bisect.insort(state.waiting, waiter, key=grant_by)
+        state = line.ranks.setdefault(waiter.rank, rate_line.RankState())
+        bisect.insort(state.waiting, waiter, key=rate_line.grant_by)
         self.requests += 1
         self.size += waiter.size
         return Outcome(waiter, Decision.QUEUED, supply.left, ahead)
 
-    def refuse_new(self, waiter: Waiter, now: float) -> Outcome:
+    def refuse_new(self, waiter: rate_line.Waiter, now: float) -> Outcome:
         """Refuses a request without a token that must not wait."""
         line = self.line(waiter.workspace, now)
         supply = self.supply(waiter.workspace, now)
@@ -463,7 +195,7 @@
         ahead = line.ahead_of(waiter)
         return self.refuse(waiter, line, supply, ahead, now)
 
-    def remove(self, waiter: Waiter) -> None:
+    def remove(self, waiter: rate_line.Waiter) -> None:
         """Removes a waiting request, whose place is free at once."""
         line = self.lines.get(waiter.workspace)
         state = line.ranks.get(waiter.rank) if line is not None else None
@@ -489,7 +221,7 @@
         return outcomes
 
     def advance_line(
-        self, workspace: str, line: Line, now: float
+        self, workspace: str, line: rate_line.Line, now: float
     ) -> list[Outcome]:
         """Returns the requests of one workspace whose wait ends now."""
         outcomes: list[Outcome] = []
@@ -502,7 +234,7 @@
                     outcomes.append(Outcome(waiter, Decision.GRANTED, 0.0, 0))
             return outcomes
         self.add_progress(line, supply, now)
-        while (chosen := choose(line, supply, now)) is not None:
+        while (chosen := rate_line.choose(line, supply, now)) is not None:
             waiter = chosen.waiting[0]
             if waiter.grant_by < now:
                 self.remove(waiter)
@@ -517,17 +249,19 @@
             outcomes.append(Outcome(waiter, Decision.GRANTED, supply.left, 0))
             supply = self.supply(workspace, now)
             assert supply is not None
-        if now - line.reviewed_at >= POLL_MS:
+        if now - line.reviewed_at >= rate_line.POLL_MS:
             line.reviewed_at = now
             outcomes += self.review(line, supply, now)
         line.expected_at = now + (
-            time_to_token(supply)
+            rate_line.time_to_token(supply)
             if chosen is None
             else (line.threshold - line.progress) / supply.pace()
         )
         return outcomes
 
-    def review(self, line: Line, supply: Supply, now: float) -> list[Outcome]:
+    def review(
+        self, line: rate_line.Line, supply: rate_line.Supply, now: float
+    ) -> list[Outcome]:
         """Refuses the requests that can no longer get a token in time."""
         outcomes: list[Outcome] = []
         ahead = 0
@@ -535,7 +269,7 @@
             state = line.ranks[rank]
             kept = 0
             for waiter in list(state.waiting):
-                wait = expected_wait(
+                wait = rate_line.expected_wait(
                     supply, line, rank=rank, ahead=ahead + kept, now=now
                 )
                 if now + wait <= waiter.grant_by:
@@ -560,19 +294,21 @@
         ]
         if not due:
             return None
-        return min(max(now + POLL_MS_MIN, min(due)), now + POLL_MS)
+        return min(max(now + POLL_MS_MIN, min(due)), now + rate_line.POLL_MS)
 
     # Pace of this node.
 
-    def add_progress(self, line: Line, supply: Supply, now: float) -> None:
+    def add_progress(
+        self, line: rate_line.Line, supply: rate_line.Supply, now: float
+    ) -> None:
         """Lets the random time until the next grant pass."""
-        passed = min(POLL_MS, now - line.paced_at)
+        passed = min(rate_line.POLL_MS, now - line.paced_at)
         line.paced_at = now
         if supply.left >= 1.0:
             added = supply.pace() * passed
             line.progress = min(PROGRESS_MAX, line.progress + added)
 
-    def is_due(self, line: Line, supply: Supply) -> bool:
+    def is_due(self, line: rate_line.Line, supply: rate_line.Supply) -> bool:
         """Returns whether the next grant is due, and draws the one after."""
         if supply.is_unpaced():
             return True
@@ -588,11 +324,11 @@
 
     # State.
 
-    def line(self, workspace: str, now: float) -> Line:
+    def line(self, workspace: str, now: float) -> rate_line.Line:
         """Returns the requests of a workspace, updated to the current time."""
         line = self.lines.get(workspace)
         if line is None:
-            line = Line(updated_at=now, threshold=self.draw())
+            line = rate_line.Line(updated_at=now, threshold=self.draw())
             self.lines[workspace] = line
             return line
         passed = max(0.0, now - line.updated_at)
@@ -602,10 +338,10 @@
         return line
 
     def update_ranks(
-        self, workspace: str, line: Line, passed: float, now: float
+        self, workspace: str, line: rate_line.Line, passed: float, now: float
     ) -> None:
         """Decays the demand of each rank, and adds its guaranteed tokens."""
-        weight = 0.5 ** (passed / DEMAND_HALF_LIFE_MS)
+        weight = 0.5 ** (passed / rate_line.DEMAND_HALF_LIFE_MS)
         line.refusals *= 0.5 ** (passed / REFUSALS_HALF_LIFE_MS)
         added = 0.0
         bucket = self.quotas.buckets.get(workspace)
@@ -614,28 +350,30 @@
                 bucket.rate_per_ms
                 * (1.0 - self.quotas.silent_share)
                 * bucket.unreported.share(self.quotas.nodes)
-                * guaranteed_share(line)
+                * rate_line.guaranteed_share(line)
                 * passed
             )
         for rank, state in list(line.ranks.items()):
             state.demand *= weight
-            if now - state.seen_at < SEEN_MS:
+            if now - state.seen_at < rate_line.SEEN_MS:
                 state.credit = min(CREDIT_MAX, state.credit + added)
             elif not state.waiting:
                 del line.ranks[rank]
 
-    def record_demand(self, line: Line, rank: int, now: float) -> None:
+    def record_demand(
+        self, line: rate_line.Line, rank: int, now: float
+    ) -> None:
         """Counts a request of a rank."""
         state = line.ranks.get(rank)
         if state is None:
             # A random start gives each of many nodes its part of a credit that
             # none of them would reach alone.
-            state = RankState(credit=self.rng.random())
+            state = rate_line.RankState(credit=self.rng.random())
             line.ranks[rank] = state
         state.demand += 1.0
         state.seen_at = now
 
-    def supply(self, workspace: str, now: float) -> Supply | None:
+    def supply(self, workspace: str, now: float) -> rate_line.Supply | None:
         """Returns the tokens of a workspace; None without a rate limit."""
         bucket = self.quotas.buckets.get(workspace)
         if bucket is None:
@@ -646,7 +384,7 @@
             free = FREE_WHILE_PRESSED * self.quotas.free(bucket, now)
             others = max(0.0, bucket.unreported.last - free)
             left = min(left, bucket.tokens - others)
-        return Supply(
+        return rate_line.Supply(
             left=left,
             burst=bucket.burst,
             rate=bucket.rate_per_ms * (1.0 - self.quotas.silent_share),
@@ -655,28 +393,33 @@
             lag_ms=self.quotas.lag_of(bucket, now),
         )
 
-    def take(self, workspace: str, state: RankState, now: float) -> bool:
+    def take(
+        self, workspace: str, state: rate_line.RankState, now: float
+    ) -> bool:
         """Takes a token for a request of a rank; returns whether it did."""
         if self.quotas.admit(workspace, now):
             return False
         state.credit = max(0.0, state.credit - 1.0)
         return True
 
-    def is_unused(self, workspace: str, line: Line, now: float) -> bool:
+    def is_unused(
+        self, workspace: str, line: rate_line.Line, now: float
+    ) -> bool:
         """Returns whether the state of a workspace can be removed."""
         if workspace not in self.quotas.buckets:
             return True
         return all(
-            now - state.seen_at >= SEEN_MS for state in line.ranks.values()
+            now - state.seen_at >= rate_line.SEEN_MS
+            for state in line.ranks.values()
         ) and (not line.promised or line.promised[-1] < now)
 
     # Retries.
 
     def refuse(
         self,
-        waiter: Waiter,
-        line: Line,
-        supply: Supply,
+        waiter: rate_line.Waiter,
+        line: rate_line.Line,
+        supply: rate_line.Supply,
         ahead: int,
         now: float,
     ) -> Outcome:
@@ -692,7 +435,11 @@
         )
 
     def promise(
-        self, waiter: Waiter, line: Line, supply: Supply, now: float
+        self,
+        waiter: rate_line.Waiter,
+        line: rate_line.Line,
+        supply: rate_line.Supply,
+        now: float,
     ) -> float:
         """Returns the delay of a refused caller's retry, in ms.
 
@@ -717,32 +464,3 @@
         if len(line.promised) < PROMISES_MAX:
             bisect.insort(line.promised, now + delay)
         return delay
-
-
-def choose(line: Line, supply: Supply, now: float) -> RankState | None:
-    """Returns the rank that gets the next token; None if none may take it.
-
-    A rank that has not had its guaranteed share goes first, otherwise the most
-    urgent one.
-    """
-    if supply.left < 1.0:
-        return None
-    waiting = [
-        (rank, state) for rank, state in line.ranks.items() if state.waiting
-    ]
-    owed = [state for _, state in waiting if state.credit >= 1.0]
-    if owed:
-        return max(owed, key=lambda state: state.credit)
-    for rank, state in sorted(waiting, key=lambda item: item[0]):
-        if supply.left >= 1.0 + line.reserve(rank, now) * supply.burst:
-            return state
-    return None
-
-
-def time_to_token(supply: Supply) -> float:
-    """Returns the time until a token may be left, in ms.
-
-    It is `POLL_MS` if one is left already, but kept for other ranks.
-    """
-    missing = 1.0 - supply.left
-    return missing / max(1e-9, supply.rate) if missing > 0.0 else POLL_MS
--- a/tests/workspace/rate_fleet.py
+++ b/tests/workspace/rate_fleet.py
@@ -16,7 +16,7 @@
 from currantcart.admission import retry_after
 from currantcart.proxy import node as node_module
 from currantcart.proxy.streams import publisher, silence
-from currantcart.workspace import quota, rate_queue
+from currantcart.workspace import quota, rate_line, rate_queue
 
 WORKSPACE = "mill"
 WORK_OF_OBJECTIVE = 0.2
@@ -122,7 +122,7 @@
             self.queues.append(None)
             self.processes.append("")
             self.start(number, 0.0)
-        self.owners: dict[rate_queue.Waiter, Request] = {}
+        self.owners: dict[rate_line.Waiter, Request] = {}
         self.arrivals: list[tuple[float, int, Request]] = []
         self.sequence = 0
         self.granted: list[float] = []
@@ -254,11 +254,11 @@
         left = (
             request.first_at + DEADLINE_OF_OBJECTIVE * load.objective_ms - now
         )
-        waiter = rate_queue.Waiter(
+        waiter = rate_line.Waiter(
             WORKSPACE,
             load.rank,
             now,
-            rate_queue.latest_grant(
+            rate_line.latest_grant(
                 now,
                 received_at=now,
                 deadline_ms=left,
--- a/tests/workspace/test_rate_queue.py
+++ b/tests/workspace/test_rate_queue.py
@@ -9,7 +9,7 @@
 import pytest
 from hypothesis import strategies as st
 
-from currantcart.workspace import quota, rate_queue, response_times
+from currantcart.workspace import quota, rate_line, rate_queue, response_times
 from tests.workspace import rate_fleet
 
 URGENT, USUAL, LATER = 1, 17, 33
@@ -42,13 +42,13 @@
     grant_by: float = 600.0,
     expires_at: float = 5_000.0,
     size: int = 0,
-) -> rate_queue.Waiter:
-    return rate_queue.Waiter(
+) -> rate_line.Waiter:
+    return rate_line.Waiter(
         "mill", rank, at, grant_by, expires_at, 1_500.0, size
     )
 
 
-def granted(outcomes: list[rate_queue.Outcome]) -> list[rate_queue.Waiter]:
+def granted(outcomes: list[rate_queue.Outcome]) -> list[rate_line.Waiter]:
     return [
         outcome.waiter
         for outcome in outcomes
@@ -57,7 +57,7 @@
 
 
 def offer(
-    queue: rate_queue.RateQueue, item: rate_queue.Waiter
+    queue: rate_queue.RateQueue, item: rate_line.Waiter
 ) -> rate_queue.Decision:
     return queue.offer(item, item.queued_at).decision
 
@@ -155,7 +155,7 @@
     assert not queue.admit("mill", USUAL, 1.0)
     assert queue.admit("mill", URGENT, 2.0)
     queue.quotas.buckets["mill"].tokens = 2.0
-    assert queue.admit("mill", USUAL, rate_queue.SEEN_MS + 1.0)
+    assert queue.admit("mill", USUAL, rate_line.SEEN_MS + 1.0)
 
 
 def test_a_rank_without_credit_gets_its_guaranteed_share() -> None:
@@ -187,11 +187,11 @@
     queue.record_demand(queue.line("mill", 0.0), URGENT, 0.0)
     line = queue.line("mill", 0.0)
     item = waiter(rank=LATER, grant_by=1e6)
-    line.ranks[LATER] = rate_queue.RankState(waiting=[item])
+    line.ranks[LATER] = rate_line.RankState(waiting=[item])
     queue.requests = 1
     line.progress = line.threshold + 1.0
     assert not queue.advance(5.0)
-    assert queue.next_at(5.0) == 5.0 + rate_queue.POLL_MS
+    assert queue.next_at(5.0) == 5.0 + rate_line.POLL_MS
 
 
 def test_requests_and_bytes_are_bounded() -> None:
@@ -261,7 +261,7 @@
     queue.quotas.give_back("mill")
     next_at = queue.next_at(1.0)
     assert next_at is not None
-    assert next_at <= 1.0 + rate_queue.POLL_MS
+    assert next_at <= 1.0 + rate_line.POLL_MS
     assert granted(queue.advance(next_at)) == [item]
 
 
@@ -336,7 +336,7 @@
     """Guards against tokens taken twice and requests left in the queue."""
     queue = queue_of(rate=50.0, burst=10.0, tokens=5.0, requests_max=8)
     now, taken = 0.0, 0
-    held: set[rate_queue.Waiter] = set()
+    held: set[rate_line.Waiter] = set()
     for kind, passed, rank in events:
         now += passed
         if kind == "arrive":
