--- a/bench/soak/processes.py
+++ b/bench/soak/processes.py
@@ -27,9 +27,16 @@
       number: Signal to send.
     """
     process = current()
-    if process is not None and process.poll() is None:
-        process.send_signal(number)
+    send(process, number)
     while process is not None and process.poll() is None:  # noqa: ASYNC110
         await asyncio.sleep(POLL_SECONDS)
     if current() is process:
         start()
+
+
+def send(
+    process: subprocess.Popen[bytes] | None, number: signal.Signals
+) -> None:
+    """Sends a signal to a process if it still runs."""
+    if process is not None and process.poll() is None:
+        process.send_signal(number)
--- a/bench/soak/promises.py
+++ b/bench/soak/promises.py
@@ -16,6 +16,10 @@
 LIMIT_WINDOW_SECONDS = 4.0
 LIMIT_OVERSHOOT = 1.5
 LIMIT_SLACK = 5
+ENDS_MAX = 3
+"""Targets that may end under a request before no other one gets it."""
+ENDS_KNOWN_SECONDS = 2.0
+"""Time after which all nodes that nothing has disturbed know of an end."""
 RATE_WINDOW_SECONDS = 5.0
 RATE_OVERSHOOT = 0.1
 RATE_SLACK = 20
@@ -36,6 +40,7 @@
       answered_id: Request id in the answer.
       instance: Instance of the node that it was sent to.
       workspace: Workspace that holds the key.
+      path: Path of the request.
     """
 
     request_id: str
@@ -48,6 +53,7 @@
     answered_id: str = ""
     instance: str = ""
     workspace: str = "mill"
+    path: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,6 +68,7 @@
       workspace: Workspace named in the request's header.
       expected: Id of the target that the node addressed the request to.
       domain: Failure domain of the target.
+      instance: Instance of the node beside the target.
     """
 
     request_id: str
@@ -71,6 +78,7 @@
     workspace: str
     expected: str
     domain: str = ""
+    instance: str = ""
 
 
 @dataclasses.dataclass(slots=True)
@@ -168,6 +176,8 @@
       told_leave: When each instance first passed on an answer in which a
         target states that it is leaving, by instance and target.
       disturbed: When each instance's node was last stopped or paused.
+      delayed: When the streams to each instance's node were last disturbed.
+      ends: When a target ended under a request, by the request's path.
       limits: Stated limits in their order.
       evacuations: Evacuations in their order.
       rates: Rate limits of workspaces.
@@ -182,6 +192,8 @@
         default_factory=dict
     )
     disturbed: dict[str, float] = dataclasses.field(default_factory=dict)
+    delayed: dict[str, float] = dataclasses.field(default_factory=dict)
+    ends: dict[str, list[float]] = dataclasses.field(default_factory=dict)
     limits: list[Limit] = dataclasses.field(default_factory=list)
     evacuations: list[Evacuation] = dataclasses.field(default_factory=list)
     rates: list[Rate] = dataclasses.field(default_factory=list)
@@ -249,6 +261,8 @@
         and record.disturbed.get(sent.instance, 0.0) < told_at
     ):
         yield f"DRAIN: {ran.request_id} came to {ran.target_id}, which leaves"
+    if is_one_too_many(record, sent, ran):
+        yield f"ENDS: {ran.request_id} ({sent.path}) came to {ran.target_id}"
     for evacuation in record.evacuations:
         begin = evacuation.at + EVACUATION_SECONDS
         if (
@@ -258,6 +272,24 @@
             yield f"EVAC: {ran.request_id} came to {ran.target_id}"
 
 
+def is_one_too_many(record: Record, sent: Sent, ran: Ran) -> bool:
+    """Returns whether a run follows too many ends under the same request.
+
+    Nodes that were stopped, paused or cut off since the first end may not know
+    of all.
+    """
+    ends = record.ends.get(sent.path, [])
+    if len(ends) < ENDS_MAX:
+        return False
+    known_at = ends[ENDS_MAX - 1] + ENDS_KNOWN_SECONDS
+    disturbed = [
+        at.get(instance, 0.0)
+        for at in (record.disturbed, record.delayed)
+        for instance in (sent.instance, ran.instance)
+    ]
+    return sent.at > known_at and max(disturbed) < ends[0]
+
+
 def broken_by_answer(sent: Sent, runs: int) -> Iterator[str]:
     """Yields the promises that the answer to one request breaks."""
     if not 200 <= sent.status < 300:
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -8,6 +8,7 @@
 import random
 import signal
 import tempfile
+import time
 from collections.abc import Awaitable, Callable, Sequence
 from typing import TypeVar
 
@@ -26,6 +27,7 @@
 STUTTER_SECONDS = 0.6
 FULL_WORK_SECONDS = 1.2
 """Work time of a target whose slots fill up at the load of a run."""
+FATAL_REPEATS = 10
 REGRESSIONS = pathlib.Path(__file__).parent / "regressions.txt"
 
 
@@ -93,11 +95,14 @@
     instance.wire.mode = rng.choice(list(wire.Mode))
     await hold(rng)
     instance.wire.mode = wire.Mode.PASS
+    fleet.record.delayed[instance.name] = time.monotonic()
 
 
 async def reset_wire(fleet: world.World, rng: random.Random) -> None:
     """Resets the streams to a node."""
-    rng.choice(fleet.places).wire.reset()
+    instance = rng.choice(fleet.places)
+    instance.wire.reset()
+    fleet.record.delayed[instance.name] = time.monotonic()
 
 
 async def spoil_store(fleet: world.World, rng: random.Random) -> None:
@@ -205,6 +210,14 @@
     target.work_seconds = WORK_SECONDS
 
 
+async def repeat_fatal(fleet: world.World, rng: random.Random) -> None:
+    """Repeats a request that ends the target that runs it."""
+    path = f"{world.FATAL_PATH}{rng.randrange(10**9)}"
+    for _ in range(FATAL_REPEATS):
+        await fleet.call_fatal(path)
+        await asyncio.sleep(rng.uniform(0.2, 0.8))
+
+
 HEAVY_FAULTS: tuple[Fault, ...] = (press, press, stutter, kill_full)
 FAULTS: tuple[Fault, ...] = (
     kill, stop_gracefully, pause, reread, spoil_wire, spoil_wire, reset_wire,
@@ -251,6 +264,15 @@
         await asyncio.sleep(START_SECONDS)
         load = asyncio.create_task(fleet.load(PER_SECOND, seconds))
         planned = random.Random(seed + 2)
+        fleet.run_in_background(
+            series(
+                fleet,
+                (repeat_fatal,),
+                random.Random(seed + 6),
+                seconds - 1,
+                injected,
+            )
+        )
         if heavy:
             fleet.run_in_background(
                 series(
@@ -285,6 +307,8 @@
         await load
         await asyncio.sleep(RECOVERY_SECONDS)
         after = await fleet.load(PER_SECOND, 2.0)
+        # Without other faults, no node has an excuse for not knowing of an end.
+        await repeat_fatal(fleet, rng)
     finally:
         await fleet.stop()
     valid = [sent for sent in after if sent.key in fleet.keys]
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -27,6 +27,10 @@
 SITE = "shop.example"
 DOMAINS = 3
 HEARTBEAT_SECONDS = 0.5
+DOWN_SECONDS = 1.0
+"""Time until a target that has ended is started again."""
+FATAL_PATH = "/read/fatal-"
+"""Prefix of the paths of requests that end the target that runs them."""
 ANSWER_SECONDS_MAX = 6.0
 ROUTE_COLUMNS = [
     "name", "host", "prefix", "kind", "timeout-s", "target-latency-s",
@@ -252,8 +256,11 @@
                     seen.headers.get("currantcart-tenant", ""),
                     seen.headers.get("currantcart-expect-instance", ""),
                     domain,
+                    instance.name,
                 )
             )
+            if seen.path.startswith(FATAL_PATH) and instance.target is target:
+                self.run_in_background(self.end_target(instance, seen.path))
 
         target.script = answer
         target.on_run = on_run
@@ -274,8 +281,7 @@
         """Sends a signal to a node's process if it still runs."""
         if number is not signal.SIGHUP:
             self.record.disturbed[instance.name] = time.monotonic()
-        if instance.process is not None and instance.process.poll() is None:
-            instance.process.send_signal(number)
+        processes.send(instance.process, number)
 
     async def restart(self, instance: Instance, number: signal.Signals) -> None:
         """Ends a node's process with a signal and restarts it."""
@@ -342,6 +348,27 @@
         if await self.report(instance, "draining"):
             self.record.left[previous.target_id] = time.monotonic()
         await asyncio.sleep(self.rng.uniform(0.2, 3.0))
+        self.succeed_target(instance)
+        instance.phase = "ready"
+
+    async def end_target(self, instance: Instance, path: str) -> None:
+        """Ends a target under a request, and starts its successor later."""
+        if instance.phase != "ready" or instance.server is None:
+            return
+        instance.phase = "ended"
+        self.record.ends.setdefault(path, []).append(time.monotonic())
+        instance.server.close()
+        self.succeed_target(instance)
+        await asyncio.sleep(DOWN_SECONDS)
+        loop = asyncio.get_running_loop()
+        instance.server = await loop.create_server(
+            lambda: instance.target.accept(), HOST, instance.ports[4]
+        )
+        instance.phase = "ready"
+
+    def succeed_target(self, instance: Instance) -> None:
+        """Aborts a target's connections and puts a new one in its place."""
+        previous = instance.target
         for connection in previous.connections:
             if connection.transport is not None:
                 connection.transport.abort()
@@ -352,7 +379,6 @@
             target_id=f"{name}-{instance.born}"
         )
         self.record_runs(instance)
-        instance.phase = "ready"
 
     # Callers.
 
@@ -381,13 +407,26 @@
         )
         return await self.send(sent, pay=False)
 
+    async def call_fatal(self, path: str) -> promises.Sent:
+        """Sends a request that ends the target that runs it."""
+        sent = promises.Sent(
+            f"r{next(self.numbers)}",
+            self.keys[-1],
+            True,
+            time.monotonic(),
+            b"",
+            path=path,
+        )
+        return await self.send(sent, pay=False)
+
     async def send(self, sent: promises.Sent, *, pay: bool) -> promises.Sent:
         """Sends a request to a random node and records its answer."""
         self.record.sent[sent.request_id] = sent
         instance = self.rng.choice(self.places)
-        method, path = ("POST", "/pay/1") if pay else ("GET", "/read/1")
+        method = "POST" if pay else "GET"
+        sent.path = sent.path or ("/pay/1" if pay else "/read/1")
         head = (
-            f"{method} {path} HTTP/1.1\r\nHost: {SITE}\r\n"
+            f"{method} {sent.path} HTTP/1.1\r\nHost: {SITE}\r\n"
             f"Currantcart-Request-Id: {sent.request_id}\r\n"
             f"Currantcart-Deadline-Ms: 3000\r\nApi-Key: {sent.key}\r\n"
         )
@@ -461,8 +500,9 @@
         for task in list(self.tasks):
             task.cancel()
         for instance in self.places:
-            self.send_signal(instance, signal.SIGCONT)
-            self.send_signal(instance, signal.SIGKILL)
+            # Not recorded: it would excuse what happened before.
+            processes.send(instance.process, signal.SIGCONT)
+            processes.send(instance.process, signal.SIGKILL)
             instance.wire.close()
             if instance.server is not None:
                 instance.server.close()
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -123,3 +123,26 @@
 )
 def test_broken_promise_is_found(record: promises.Record, name: str) -> None:
     assert any(line.startswith(name) for line in promises.broken(record))
+
+
+def ended_under(*, sent_at: float, disturbed_at: float) -> promises.Record:
+    """Returns a record in which three targets ended under one request."""
+    record = valid_record()
+    sent = record.sent["r1"]
+    sent.path, sent.instance, sent.at = "/read/fatal", "n0", sent_at
+    record.ends["/read/fatal"] = [5.0, 6.0, 7.0]
+    record.disturbed["n0"] = disturbed_at
+    return record
+
+
+def test_a_run_after_three_ends_under_its_request_is_found() -> None:
+    found = list(promises.broken(ended_under(sent_at=9.5, disturbed_at=4.0)))
+    assert [line.partition(":")[0] for line in found] == ["ENDS"]
+
+
+@pytest.mark.parametrize(("sent_at", "disturbed_at"), [(8.5, 4.0), (9.5, 6.0)])
+def test_a_node_that_may_not_know_of_an_end_is_excused(
+    sent_at: float, disturbed_at: float
+) -> None:
+    record = ended_under(sent_at=sent_at, disturbed_at=disturbed_at)
+    assert not list(promises.broken(record))
--- a/tests/soak/test_world.py
+++ b/tests/soak/test_world.py
@@ -64,3 +64,23 @@
     await asyncio.gather(*restarts)
     assert len(launched) == 1
     assert instance.restarts == 0
+
+
+async def test_the_end_of_a_run_excuses_nothing(tmp_path: pathlib.Path) -> None:
+    """Guards against checks that never fail, as all nodes are stopped last."""
+    fleet = world.World(tmp_path, random.Random(1))
+    process = Process()
+    process.wait = lambda timeout: None  # type: ignore[attr-defined]
+    fleet.places.append(
+        world.Instance(
+            "n0",
+            tmp_path / "n0.json",
+            [0] * 6,
+            wire.FaultyWire(0),
+            http_target.HttpTarget(),
+            process=cast("subprocess.Popen[bytes]", process),
+        )
+    )
+    await fleet.stop()
+    assert process.signals == [signal.SIGCONT, signal.SIGKILL]
+    assert not fleet.record.disturbed
