--- a/src/currantcart/proxy/targets/target_end.py
+++ b/src/currantcart/proxy/targets/target_end.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import collections
 import dataclasses
 from collections.abc import Callable, Iterable
@@ -51,6 +52,7 @@
       unanswered: Requests whose connection ended, the oldest first.
       checking: Whether a connection is being opened to check the target.
       waiting: Requests whose senders are told after the check.
+      timer: Tells them anyway; None while none waits.
     """
 
     def __init__(
@@ -70,6 +72,7 @@
         )
         self.checking = False
         self.waiting: list[job_module.Job] = []
+        self.timer: asyncio.TimerHandle | None = None
 
     def record_unanswered(self, job: job_module.Job) -> None:
         """Records a request whose connection ended before its answer."""
@@ -101,8 +104,10 @@
             self.reply(job)
             return
         self.waiting.append(job)
-        if len(self.waiting) == 1:
-            self.context.loop.call_later(CHECK_SECONDS_MAX, self.reply_all)
+        if self.timer is None:
+            self.timer = self.context.loop.call_later(
+                CHECK_SECONDS_MAX, self.reply_all
+            )
         if not self.checking:
             self.checking = True
             self.connections.dial(self.check_succeeded, self.check_failed)
@@ -122,6 +127,9 @@
 
     def reply_all(self) -> None:
         """Replies to all that wait for the check."""
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
         waiting, self.waiting = self.waiting, []
         for job in waiting:
             self.reply(job)
--- a/tests/proxy/targets/test_target_end.py
+++ b/tests/proxy/targets/test_target_end.py
@@ -4,8 +4,12 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Any, cast
 
 from bench.standins import http_target
+from currantcart.http1 import pool
+from currantcart.proxy.streams import frames
+from currantcart.proxy.targets import job, target_end
 from currantcart.telemetry import timeline
 from tests.fakes import ends as ends_module
 from tests.fakes import load as load_module
@@ -163,3 +167,66 @@
     await mesh.ask(place, fake_mesh.request("/pay/fatal", method="POST"))
     await mesh.settle(ends.down_seconds * 2)
     assert len(lines(mesh, "target_ended")) == len(ends.ended) == 1
+
+
+class HeldConnections:
+    """A pool whose attempts to connect end when the test says so."""
+
+    def __init__(self) -> None:
+        self.attempts: list[
+            tuple[Callable[[Any], None], Callable[[str], None]]
+        ] = []
+
+    def dial(
+        self, on_open: Callable[[Any], None], on_failed: Callable[[str], None]
+    ) -> None:
+        self.attempts.append((on_open, on_failed))
+
+    def give_back(self, connection: object, now: float) -> None:
+        del connection, now
+
+
+class Reply:
+    """Records the code of a lost attempt."""
+
+    def __init__(self) -> None:
+        self.codes: list[str] = []
+
+    def lost(self, code: str, *, end_number: int = 0) -> None:
+        del end_number
+        self.codes.append(code)
+
+
+async def test_each_lost_answer_is_checked_for_its_own_time(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """Guards against a sender that is told by the timer of an earlier loss."""
+    place = await mesh.add("a")
+    connections = HeldConnections()
+    detector = target_end.EndDetector(
+        place.node.context,
+        connections=cast(pool.Pool, connections),
+        running=list,
+        on_refused=lambda: detector.record_end(target_id="t", cause="refused"),
+    )
+
+    def lose(number: int) -> Reply:
+        reply = Reply()
+        opening = frames.Open(
+            number, 0.0, 1e3, f"r{number}", "t", 1, 1e3, "GET", "/", b"", b"",
+            0, fingerprint=number,
+        )  # fmt: skip
+        lost = job.Job(opening, 1e9, 0.0, cast(job.ReplyTo, reply))
+        detector.record_unanswered(lost)
+        detector.report_lost(lost, is_up=True)
+        return reply
+
+    first = lose(1)
+    connections.attempts[0][0](None)
+    assert first.codes == ["answer_lost"]
+    await mesh.settle(target_end.CHECK_SECONDS_MAX * 0.9)
+    second = lose(2)
+    await mesh.settle(target_end.CHECK_SECONDS_MAX * 0.5)
+    assert not second.codes
+    connections.attempts[1][1]("refused")
+    assert second.codes == ["target_ended"]
