--- a/tests/proxy/requests/test_quarantine.py
+++ b/tests/proxy/requests/test_quarantine.py
@@ -117,6 +117,8 @@
     await mesh.settle(fake_mesh.SHARING_SECONDS)
     await ask_repeatedly(mesh, callers, "/read/fatal", times=1)
     assert len(ends.ended) == len(ends.arrivals) == ENDS_MAX
+    retries = [line for line in mesh.lines if "event=tried_again" in line]
+    assert len(retries) == ENDS_MAX - 1
 
 
 async def test_a_call_that_ends_targets_is_not_sent_again_by_later_runs(
