--- a/tests/proxy/requests/test_quarantine.py
+++ b/tests/proxy/requests/test_quarantine.py
@@ -240,10 +240,7 @@
 async def test_different_requests_beside_one_that_ends_targets_are_served(
     mesh: fake_mesh.Mesh,
 ) -> None:
-    """Guards against innocent requests that are quarantined with a guilty one.
-
-    They run beside it on each target that it ends, and are retried with it.
-    """
+    """Guards against innocent requests quarantined with a guilty one."""
     ends = await ends_module.add_targets(mesh, TARGETS, is_fatal=FATAL)
     callers = await add_callers(mesh, 3)
     for place in mesh.places.values():
