--- a/review/lab.py
+++ b/review/lab.py
@@ -95,6 +95,8 @@
 
     def add(self, event: str, **values: object) -> float:
         now = self.now()
+        if self.file.closed:
+            return now
         text = " ".join(f"{key}={item}" for key, item in values.items())
         self.file.write(f"{now:8.3f} {event} {text}\n")
         return now
