--- a/review/lab.py
+++ b/review/lab.py
@@ -116,6 +116,7 @@
     held_down: bool = False
     started: list[float] = dataclasses.field(default_factory=list)
     peak_mb: float = 0.0
+    misses: int = 0
     over_memory: list[float] = dataclasses.field(default_factory=list)
 
 
@@ -453,6 +454,29 @@
         answer = await self.exchange(machine.ports["ready"], head, b"", 1.0)
         return answer.status == 200
 
+    async def probe_readiness(self) -> None:
+        """Asks each node once a second whether it is ready, as the platform does."""
+        while True:
+            for machine in self.machines:
+                self.keep(self.probe(machine))
+            await asyncio.sleep(1)
+
+    async def probe(self, machine: Machine) -> None:
+        ready = await self.is_ready(machine)
+        if ready == (machine.misses >= 2):
+            self.record.add("readiness", machine=machine.name, ready=ready)
+        machine.misses = 0 if ready else machine.misses + 1
+
+    def gets_work(self, machine: Machine) -> bool:
+        """Returns whether the clients of a machine get new work.
+
+        After two misses they get none, unless fewer than half of the nodes of the zone
+        are in.
+        """
+        zone = [item for item in self.machines if item.zone == machine.zone]
+        present = sum(item.misses < 2 for item in zone)
+        return machine.misses < 2 or present < len(zone) / 2
+
     # Clients.
 
     async def exchange(self, port: int, head: str, body: bytes, seconds: float) -> Answer:
