--- a/review/lab.py
+++ b/review/lab.py
@@ -123,8 +123,7 @@
 class Worker:
     """A sound worker, as the pages describe one.
 
-    `spoil` may change the bytes of an answer; with `bytes_per_s` it reads the body of a
-    request no faster than that.
+    With `bytes_per_s` it reads the body of a request no faster than that.
     """
 
     def __init__(self, lab: Lab, machine: Machine, *, slots: int, work_s: float) -> None:
@@ -136,11 +135,8 @@
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.running = 0
-        self.answers = 0
-        self.reports = True
         self.connections: set[WorkerConnection] = set()
         self.server: asyncio.Server | None = None
-        self.spoil: Callable[[bytes, str], bytes] | None = None
         self.bytes_per_s = 0.0
         self.reached: list[tuple[float, str, str]] = []
 
@@ -156,7 +152,7 @@
         )
 
     async def beat(self) -> None:
-        while self.reports:
+        while True:
             self.sequence += 1
             body = {
                 "service": self.machine.service,
@@ -183,18 +179,6 @@
         )
         return 200 <= answer.status < 300
 
-    async def deregister(self) -> bool:
-        """Says that it leaves; it goes on serving until `end`."""
-        self.reports = False
-        return await self.report("instances.deregister", {"born": self.born})
-
-    def end(self) -> None:
-        """Exits: the port is closed and all connections end."""
-        if self.server is not None:
-            self.server.close()
-        for item in list(self.connections):
-            item.close()
-
 
 class WorkerConnection(asyncio.Protocol):
     """One connection of a worker, for one request at a time."""
@@ -268,7 +252,6 @@
     def finish(self) -> None:
         self.work = None
         self.worker.running -= 1
-        self.worker.answers += 1
         body = f"body of {self.request_id}".encode()
         self.answer(200, body, f"Currantcart-Server-Seal: {self.worker.id}.{self.request_id}\r\n")
 
@@ -277,8 +260,6 @@
             f"HTTP/1.1 {status} Answer\r\nCurrantcart-Request-Id: {self.request_id}\r\n"
             f"{more}Keep-Alive: timeout=10\r\nContent-Length: {len(body)}\r\n\r\n"
         ).encode() + body
-        if self.worker.spoil is not None and status == 200:
-            data = self.worker.spoil(data, self.request_id)
         self.transport.write(data)
 
 
@@ -425,20 +406,6 @@
             if not machine.held_down:
                 self.launch(machine)
 
-    async def kill_all(self, down_s: float) -> None:
-        """Kills all nodes at the same moment, and starts them after a while."""
-        for machine in self.machines:
-            machine.held_down = True
-            if machine.process is not None:
-                machine.process.send_signal(signal.SIGKILL)
-        self.record.add("all_nodes_killed")
-        await asyncio.sleep(down_s)
-        for machine in self.machines:
-            assert machine.process is not None
-            machine.process.wait()
-            self.launch(machine)
-            machine.held_down = False
-
     async def all_ready(self, seconds: float) -> bool:
         """Waits until all nodes answer their readiness probe with 200."""
         end = time.monotonic() + seconds
