Refuse as "not run" only what has not started; start waiting requests later

A reply can end other requests in the same call: the node is stopping, so a 503 closes its caller's connection, the other requests on it are cancelled, their slots are freed, and Guard.free started the next waiting request. That one stood further down the list. SlotQueue.withdraw did nothing for it, said nothing, and the reply was sent.

This closes the hole. - a released slot is given away in a turn of the loop of its own, so that no decision over several requests (a hand-back, the cancel of a connection or of a stream, the answers of one read) is entered again by a start. This closes the kind; the slot of a request that was cancelled so had leaked too.

The same cause elsewhere, closed by the second: the cancel of a connection or of a lost stream started requests that the same loop cancelled next, and a second answer in one read was matched against a request that had taken the connection meanwhile. Looked at and sound: remove_overdue (withdraws first), retries and moves (Call.done), the queue for tokens (checks each exchange).

Without waiting requests nothing is scheduled.

--- a/src/currantcart/admission/slots.py
+++ b/src/currantcart/admission/slots.py
@@ -355,11 +355,22 @@
         """Returns whether a slot is free and the rate allows a request."""
         return self.running < self.slots and not self.rate.wait_ms(now)
 
-    def withdraw(self, ticket: Ticket[Item]) -> None:
-        """Removes a request from the queue, unless it has left it already."""
-        if not ticket.discarded and ticket.started_at < 0:
-            ticket.discarded = True
-            self.count_out(ticket)
+    def withdraw(self, ticket: Ticket[Item]) -> bool:
+        """Removes a waiting request from the queue.
+
+        Returns:
+          Whether it was still waiting. If not, it has started or ended, and
+          nothing may be concluded from its place in the queue.
+        """
+        if ticket.discarded or ticket.started_at >= 0:
+            return False
+        ticket.discarded = True
+        self.count_out(ticket)
+        return True
+
+    def withdraw_all(self) -> list[Ticket[Item]]:
+        """Removes and returns all waiting requests."""
+        return [ticket for _, _, ticket in self.heap if self.withdraw(ticket)]
 
     def count_out(self, ticket: Ticket[Item]) -> None:
         """Updates the counts for a request that leaves the queue."""
--- a/src/currantcart/proxy/targets/guard.py
+++ b/src/currantcart/proxy/targets/guard.py
@@ -58,6 +58,7 @@
         that it is leaving; set by the node.
       publish: Sends the node's status to its peers; set by the node.
       sweeping: Timer of the next sweep; None while no request waits.
+      starting: Scheduled start of waiting requests; None if none is scheduled.
     """
 
     def __init__(self, context: proxy_context.Context) -> None:
@@ -96,6 +97,7 @@
         self.on_leaving: Callable[[str, int], object] = lambda _id, _born: None
         self.publish: Callable[[], None] = lambda: None
         self.sweeping: asyncio.TimerHandle | None = None
+        self.starting: asyncio.Handle | None = None
 
     def set_target(
         self,
@@ -401,7 +403,7 @@
         self.free(job)
 
     def free(self, job: job_module.Job) -> None:
-        """Releases a request's slot and starts the next request.
+        """Releases a request's slot, for which another request may wait.
 
         Does nothing if the slot was released before.
         """
@@ -410,6 +412,17 @@
         self.by_request.pop(job.opening.request_id, None)
         assert job.ticket is not None
         self.queue.release(job.ticket, self.context.now)
+        if self.queue.waiting and self.starting is None:
+            self.starting = self.loop.call_soon(self.run_next)
+
+    def run_next(self) -> None:
+        """Starts the requests that wait for slots that were released.
+
+        Runs in a turn of the event loop of its own: slots are released in the
+        middle of replies, of cancels of a whole connection and of other
+        decisions about several requests, and none of them may start then.
+        """
+        self.starting = None
         self.run_waiting()
 
     def run_waiting(self) -> None:
@@ -439,7 +452,7 @@
           code: Reason of the refusal.
           at_target: Whether the target refused it, rather than this guard.
         """
-        reply, job.reply = job.reply, None
+        reply = job.take_refusal(at_target=at_target)
         if reply is None:
             return
         now = self.context.now
@@ -484,10 +497,8 @@
 
     def refuse_waiting(self, code: str) -> None:
         """Refuses all waiting requests."""
-        for _, _, ticket in list(self.queue.heap):
-            if not ticket.discarded:
-                self.queue.withdraw(ticket)
-                self.refuse(ticket.item, code)
+        for ticket in self.queue.withdraw_all():
+            self.refuse(ticket.item, code)
 
     def sweep(self) -> None:
         """Starts requests that the target's rate allows by now.
--- a/src/currantcart/proxy/targets/hand_backs.py
+++ b/src/currantcart/proxy/targets/hand_backs.py
@@ -109,12 +109,17 @@
             )
             for ticket, request in zip(tickets, waiting, strict=True)
         ]
-        for index in hand_back.select(
+        selected = hand_back.select(
             causes, waiting, allowed=allowed, soon_ms=soon_ms
-        ):
+        )
+        # All of them leave the queue before the first reply: a reply may end
+        # other requests, and so free slots.
+        withdrawn = [
+            index for index in selected if self.queue.withdraw(tickets[index])
+        ]
+        for index in withdrawn:
             cause = causes[index]
             assert cause is not None
-            self.queue.withdraw(tickets[index])
             self.reply(tickets[index].item, cause, waits[index], others)
 
     def hand_back_new(self, job: job_module.Job) -> bool:
@@ -149,7 +154,7 @@
           expected_ms: How long it would probably have waited.
           others: Load of the other targets.
         """
-        reply, job.reply = job.reply, None
+        reply = job.take_refusal()
         if reply is None:
             return
         now = self.context.now
--- a/src/currantcart/proxy/targets/job.py
+++ b/src/currantcart/proxy/targets/job.py
@@ -71,6 +71,23 @@
     counted_at_end: bool = False
     end_number: int = 0
 
+    def take_refusal(self, *, at_target: bool = False) -> ReplyTo | None:
+        """Returns who is told that the request did not run, and ends it.
+
+        A request that was handed to the target may have run; only the target
+        itself can tell that it did not.
+
+        Args:
+          at_target: Whether the target has stated that it did not run it.
+
+        Returns:
+          None if the request has ended before, or may have run.
+        """
+        if self.handed_at >= 0 and not at_target:
+            return None
+        reply, self.reply = self.reply, None
+        return reply
+
     def lineage(self) -> lineage.Lineage:
         """Returns the lineage of the calls that the target makes for it."""
         return lineage.Lineage(
--- a/src/currantcart/proxy/targets/target_exchange.py
+++ b/src/currantcart/proxy/targets/target_exchange.py
@@ -127,9 +127,6 @@
     def dialled(self, job: job_module.Job, connection: pool.Connection) -> None:
         """Sends a request on a newly opened connection if it may still run."""
         now = self.context.now
-        if job.reply is None:
-            self.pool.give_back(connection, now)
-            return
         reason = self.slots.refusal_reason(job, now)
         if reason:
             self.pool.give_back(connection, now)
@@ -155,8 +152,14 @@
     def hand_over(
         self, job: job_module.Job, connection: pool.Connection
     ) -> None:
-        """Writes a request to a connection to the target."""
+        """Writes a request to a connection to the target.
+
+        Does nothing with a request that was cancelled or refused meanwhile.
+        """
         opening, now = job.opening, self.context.now
+        if job.reply is None:
+            self.pool.give_back(connection, now)
+            return
         job.connection = connection
         job.handed_at = now
         self.begin_work(job, now)
