Tell callers on routes without keys from the calls of the local target

Cause: Intake.check took every request on a route without a key for a call of the local target, and such calls are accepted until the node ends. Callers use these routes too. The wait for what is in progress then never came to rest, and the end of the grace time cut them. Without workspaces in the configuration nothing was refused at all.

Change: call.origin decides. A key shows a caller; so does a target that works on nothing, and an expiry later than that of all that the target works on. An id built from that of a request at work shows a call. What is left may be either and counts as a call as before, except late in a shutdown: there it is accepted only while its objective ends before the node does. This holds with and without keys in the configuration.

The other uses of the same test follow: a caller's request of such a route has its route's rank in the queue, may be shed, counts as a root and no longer as a service that the target calls.

Test: test_late_in_a_shutdown_callers_without_a_key_are_rejected; all four variants failed before (200 in place of 503).

--- a/src/currantcart/proxy/callers/frontend.py
+++ b/src/currantcart/proxy/callers/frontend.py
@@ -125,6 +125,7 @@
                 self.context.freshness,
                 self.context.now,
                 closing=self.context.rejecting_callers,
+                ends_at=self.context.ends_at,
             )
         if isinstance(checked, intake.Rejection):
             self.reject(exchange, checked)
@@ -155,6 +156,7 @@
             self.context.freshness,
             self.context.now,
             closing=self.context.rejecting_callers,
+            ends_at=self.context.ends_at,
             has_token=True,
         )
         assert not isinstance(checked, intake.TokenNeeded)
--- a/src/currantcart/proxy/context.py
+++ b/src/currantcart/proxy/context.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import math
 import random
 
 from currantcart import clock as clock_module
@@ -36,6 +37,7 @@
       draining: Whether the node shuts down: readiness fails, and callers'
         connections are closed after their next response.
       rejecting_callers: Whether the node rejects new requests of callers.
+      ends_at: When the node ends the requests that are still in progress.
       leaving: Whether the node rejects new requests for its target.
       status_interval_ms: Time between two statuses on a stream.
       direct_interval_ms: The same for a node that sends its status to all
@@ -61,6 +63,7 @@
     )
     draining: bool = False
     rejecting_callers: bool = False
+    ends_at: float = math.inf
     leaving: bool = False
     status_interval_ms: float = 400.0
     direct_interval_ms: float = 400.0
--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -120,6 +120,7 @@
                 service=settings.service,
                 revoke_ms=settings.bounds.revoke_seconds * 1_000,
                 quotas=self.quotas,
+                origin=self.guard.origin_of,
             ),
             router=self.outbound,
         )
--- a/src/currantcart/proxy/requests/intake.py
+++ b/src/currantcart/proxy/requests/intake.py
@@ -7,9 +7,12 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import random
+from collections.abc import Callable
 
 from currantcart.admission import retry_after, slots
+from currantcart.call import origin as origin_module
 from currantcart.catalog import model as catalog_model
 from currantcart.fleet import freshness
 from currantcart.proxy import header_names
@@ -36,7 +39,7 @@
       deadline_ms: How long its caller waits from `head_received_at` on.
       priority: Rank, 0 is the most urgent.
       workspace: Workspace of its key; empty without one.
-      internal: Whether it is a call made by the local target.
+      internal: Whether it is, or may be, a call made by the local target.
     """
 
     route: catalog_model.Route
@@ -127,6 +130,8 @@
         a request without a token is refused at once.
       workspace_line: Header line for the target that names the workspace.
       caller_line: Header line for the target that names the local service.
+      origin: Returns the origin of a request without a key, from its id and the
+        time at which it expires.
     """
 
     def __init__(
@@ -136,7 +141,9 @@
         service: str,
         revoke_ms: float,
         quotas: quota.Quotas,
+        origin: Callable[[str, float], origin_module.Origin],
     ) -> None:
+        self.origin = origin
         self.revoke_ms = revoke_ms
         self.quotas = quotas
         self.rate_queue: rate_queue.RateQueue | None = None
@@ -151,6 +158,7 @@
         now: float,
         *,
         closing: bool = False,
+        ends_at: float = math.inf,
         has_token: bool = False,
     ) -> Request | Rejection | TokenNeeded:
         """Checks a complete request.
@@ -162,8 +170,8 @@
           now: Milliseconds of the node's clock.
           closing: Whether only calls of the local target are still accepted:
             a root request accepted late in a shutdown would be cut off after
-            its work was done. Without keys the two can't be told apart, and
-            all are accepted.
+            its work was done.
+          ends_at: When the node ends all requests.
           has_token: Whether a token was taken for it before.
 
         Returns:
@@ -176,12 +184,13 @@
         current = config_freshness.age(now) < STALE_MS
         if route is None:
             return Rejection(404, "no_route") if current else NOT_READY
-        internal = catalog.keyed and route.keyless
-        if closing and catalog.keyed and not internal:
-            return Rejection(503, "draining", NOT_READY_RETRY_MS)
         deadline_ms = parse_deadline(head.deadline)
         if deadline_ms is None:
             return Rejection(400, "deadline_invalid")
+        origin = self.origin_of(head, catalog, route, deadline_ms)
+        if closing and not may_finish(origin, route, now, ends_at=ends_at):
+            return Rejection(503, "draining", NOT_READY_RETRY_MS)
+        internal = catalog.keyed and origin is not origin_module.Origin.CALLER
         lines = head.lines
         lines.append(self.caller_line)
         request = Request(
@@ -199,7 +208,7 @@
             workspace="",
             internal=internal,
         )
-        if catalog.keyed and not internal:
+        if catalog.keyed and not route.keyless:
             found = self.workspace_of(head, catalog, config_freshness, now)
             if isinstance(found, Rejection):
                 return found
@@ -215,6 +224,26 @@
         request.head = b"".join(lines)
         return request
 
+    def origin_of(
+        self,
+        head: RequestHead,
+        catalog: catalog_model.Catalog,
+        route: catalog_model.Route,
+        deadline_ms: float,
+    ) -> origin_module.Origin:
+        """Returns where a request comes from; calls of targets have no key.
+
+        Args:
+          head: Head of the request.
+          catalog: Configuration in force.
+          route: Route of the request.
+          deadline_ms: How long its sender waits from its arrival on.
+        """
+        if head.key or (catalog.keyed and not route.keyless):
+            return origin_module.Origin.CALLER
+        expires_at = head.head_received_at + deadline_ms
+        return self.origin(head.request_id, expires_at)
+
     def workspace_of(
         self,
         head: RequestHead,
@@ -268,6 +297,32 @@
         return Rejection(429, "rate_exceeded", after, workspace)
 
 
+def may_finish(
+    origin: origin_module.Origin,
+    route: catalog_model.Route,
+    now: float,
+    *,
+    ends_at: float,
+) -> bool:
+    """Returns whether a request is accepted late in a shutdown.
+
+    A refused call fails the request that makes it, and a root that is accepted
+    may be cut off. What may be either is accepted while there is time to answer
+    it within its objective.
+
+    Args:
+      origin: Where the request comes from.
+      route: Its route.
+      now: Milliseconds of the node's clock.
+      ends_at: When the node ends all requests.
+    """
+    if origin is origin_module.Origin.CALLER:
+        return False
+    if origin is origin_module.Origin.TARGET:
+        return now < ends_at
+    return now + route.objective_ms <= ends_at
+
+
 def rank_of(
     route: catalog_model.Route, workspace: catalog_model.Workspace | None
 ) -> int:
--- a/src/currantcart/proxy/shutdown.py
+++ b/src/currantcart/proxy/shutdown.py
@@ -49,6 +49,7 @@
     publish()
     end = started + context.settings.bounds.grace_seconds * 1_000
     end -= GRACE_MARGIN_MS
+    context.ends_at = end
     while context.now < end:
         if not context.leaving and context.now - started >= SERVE_TARGET_MS:
             context.leaving = True
--- a/src/currantcart/proxy/targets/guard.py
+++ b/src/currantcart/proxy/targets/guard.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 
 from currantcart.admission import pressure, slots, target_rate
-from currantcart.call import lineage
+from currantcart.call import lineage, origin
 from currantcart.proxy import context as proxy_context
 from currantcart.proxy import evidence
 from currantcart.proxy.streams import frames
@@ -388,6 +388,24 @@
         parent = self.by_request.get(lineage.parent_id(request_id))
         return parent.lineage() if parent is not None else lineage.UNKNOWN
 
+    def origin_of(self, request_id: str, expires_at: float) -> origin.Origin:
+        """Returns whether a request without a key is a call of the target.
+
+        Args:
+          request_id: Id of the request.
+          expires_at: When it expires.
+        """
+        parent = self.by_request.get(lineage.parent_id(request_id))
+        return origin.of(
+            expires_at=expires_at,
+            has_parent=parent is not None and parent.handed_at >= 0,
+            at_work=(
+                job.expires_at
+                for job in self.running.values()
+                if job.handed_at >= 0
+            ),
+        )
+
     def cancel(self, job: job_module.Job) -> None:
         """Cancels a request whose caller no longer waits for it."""
         if job.reply is None:
--- a/tests/fakes/mesh.py
+++ b/tests/fakes/mesh.py
@@ -72,6 +72,7 @@
     rate: float = 0.0,
     burst: float = 0.0,
     cold_rate: float = 0.0,
+    keyed: bool = True,
 ) -> bytes:
     """Returns an operator's configuration."""
     if routes is None:
@@ -80,6 +81,12 @@
             route("pay", "grades", kind="non_idempotent"),
             route("inner", "grades", keyless=True),
         ]
+    tenants = {
+        "columns": [
+            "name", "api-keys", "priority", "rate-per-s", "burst-size",
+        ],
+        "rows": [["mill", list(keys), 1, rate, burst]],
+    }  # fmt: skip
     return json.dumps(
         {
             "version": version,
@@ -91,12 +98,7 @@
                 ],
                 "rows": [["grades", "/health", 100, 3.0, cold_rate]],
             },
-            "tenants": {
-                "columns": [
-                    "name", "api-keys", "priority", "rate-per-s", "burst-size",
-                ],
-                "rows": [["mill", list(keys), 1, rate, burst]],
-            },
+            **({"tenants": tenants} if keyed else {}),
             "limits": {
                 "max-header-bytes": 4096,
                 "max-body-bytes": 1_000_000,
--- a/tests/proxy/callers/test_callers.py
+++ b/tests/proxy/callers/test_callers.py
@@ -5,6 +5,7 @@
 import pytest
 
 from bench.standins import http_target
+from currantcart.platform import names
 from tests.fakes import mesh as fake_mesh
 
 
@@ -218,6 +219,59 @@
     assert await draining == 0
 
 
+@pytest.mark.parametrize("keyed", [True, False])
+@pytest.mark.parametrize("key", [fake_mesh.KEY, None])
+async def test_late_in_a_shutdown_callers_without_a_key_are_rejected(
+    mesh: fake_mesh.Mesh, key: str | None, *, keyed: bool
+) -> None:
+    """Guards against callers' requests that are taken for calls of the target.
+
+    They would be accepted until the process ends, and cut off.
+    """
+    document = fake_mesh.document(2, keyed=keyed)
+    mesh.store.operate(names.CONFIG_KEY, document)
+    peer = await mesh.add("b", domain="b")
+    place = await start_place(mesh)
+    place.target.work_seconds = 3.5
+    running = await mesh.connect(place)
+    running.send(fake_mesh.request(request_id="before", deadline=3_900))
+    await mesh.settle(0.1)
+    draining = mesh.loop.create_task(place.node.drain())
+    await mesh.settle(2.5)
+    place.target.work_seconds = 0.01
+    late = fake_mesh.request("/inner/1", request_id="late", key=key)
+    reply = await mesh.ask(place, late)
+    assert reply.status == 503
+    assert float(reply.headers["retry-after"]) > 0
+    assert not peer.target.seen
+    assert (await running.reply()).status == 200
+    assert await draining == 0
+
+
+@pytest.mark.parametrize(
+    ("request_id", "deadline"), [("before.1", 9_000), ("other", 900)]
+)
+async def test_late_in_a_shutdown_calls_of_the_target_are_accepted(
+    mesh: fake_mesh.Mesh, request_id: str, deadline: int
+) -> None:
+    """Guards against running requests that fail since a call is refused."""
+    peer = await mesh.add("b", domain="b")
+    place = await start_place(mesh)
+    place.target.work_seconds = 3.5
+    running = await mesh.connect(place)
+    running.send(fake_mesh.request(request_id="before"))
+    await mesh.settle(0.1)
+    draining = mesh.loop.create_task(place.node.drain())
+    await mesh.settle(2.5)
+    call = fake_mesh.request(
+        "/inner/1", request_id=request_id, deadline=deadline, key=None
+    )
+    assert (await mesh.ask(place, call)).status == 200
+    assert [seen.request_id for seen in peer.target.seen] == [request_id]
+    assert (await running.reply()).status == 200
+    assert await draining == 0
+
+
 async def test_a_connection_that_stalls_within_a_body_is_closed(
     mesh: fake_mesh.Mesh,
 ) -> None:
