Answer the requests in progress at the end of the grace period

A node whose grace period ended closed callers' connections without an answer. A caller can't tell that from a crash, and a payment that still waited for a slot was never reported as not run.

Cause: Node.stop ended each connection, which cancels its requests; nothing answered them, and the process ended 20 ms later whether or not a caller had read what was written.

A cancelled request that was never handed to the local target counts as not executed.

Test: test_at_the_end_of_a_shutdown_requests_are_answered failed before: the node had drained, and its callers had no answer within the test's limit of simulated time.

--- a/src/currantcart/proxy/callers/frontend.py
+++ b/src/currantcart/proxy/callers/frontend.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 import itertools
 
 from currantcart.admission import connections as connection_bounds
@@ -21,6 +23,7 @@
       connections: Open connections.
       idle: Connections without a request, the longest idle first.
       bound: Limit on the number of open connections.
+      all_closed: Set when the last open connection is closed.
       saturated: Whether there are so many that idle ones are closed.
       held_bytes: Bytes of request bodies in memory.
       rate_wait: Requests that wait for a token of their workspace's rate.
@@ -45,6 +48,7 @@
                 descriptors=context.settings.descriptors, peers=0, slots=0
             )
         )
+        self.all_closed = asyncio.Event()
         self.saturated = False
         self.held_bytes = 0
         self.rate_wait = rate_wait.RateWait(
@@ -87,6 +91,8 @@
         """Removes a connection that has ended."""
         self.connections.discard(connection)
         self.idle.pop(connection, None)
+        if not self.connections:
+            self.all_closed.set()
 
     def became_busy(self, connection: caller.CallerConnection) -> None:
         """Marks a connection as busy: it has a request."""
@@ -237,5 +243,19 @@
             if not connection.exchanges and connection.transport is not None:
                 connection.transport.close()
 
+    async def end(self, flush_seconds: float) -> None:
+        """Closes all connections, once what was written has been sent.
+
+        Args:
+          flush_seconds: Longest wait for callers that read slowly.
+        """
+        for connection in list(self.connections):
+            connection.end()
+        if self.connections:
+            self.all_closed.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(flush_seconds):
+                    await self.all_closed.wait()
+
 
 DEFAULT_LIMITS = catalog_model.CallerLimits()
--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -49,6 +49,11 @@
 # Longest wait of a starting node for the first status of a peer.
 PEER_WAIT_SECONDS_MAX = 0.25
 LEAVE_SECONDS = 0.02
+FLUSH_SECONDS = 0.3
+"""Longest wait for callers to read their last answers.
+
+It is a part of the time that is reserved for closing the node.
+"""
 """Time to send the leave message before the streams are closed."""
 
 
@@ -517,19 +522,28 @@
             publish=self.peers.publish,
             close_idle=self.callers.close_idle,
         )
+        await self.end_callers()
         await self.registration.end()
         return cut
 
+    async def end_callers(self) -> None:
+        """Answers the requests in progress, and closes callers' connections.
+
+        The streams are closed after them: closing those first would send
+        callers errors for requests that targets still run.
+        """
+        self.outbound.end_all()
+        # Only requests of peers still wait. They get the released slots else.
+        self.guard.refuse_waiting("draining")
+        await self.callers.end(FLUSH_SECONDS)
+
     async def stop(self) -> None:
         """Closes all connections and ends the background tasks."""
         for server in self.servers:
             server.close()
         for task in list(self.background.tasks):
             task.cancel()
-        # Callers' connections are closed first. Closing the streams first
-        # would send callers errors for requests that targets still run.
-        for connection in list(self.callers.connections):
-            connection.end()
+        await self.end_callers()
         self.peers.announce_leave()
         await asyncio.sleep(LEAVE_SECONDS)
         self.peers.close()
--- a/src/currantcart/proxy/requests/attempts.py
+++ b/src/currantcart/proxy/requests/attempts.py
@@ -180,13 +180,20 @@
         call.chunks.clear()
 
     def cancel(self, call: call_module.Call) -> None:
-        """Cancels the current attempt, since no caller waits for it."""
+        """Cancels the current attempt.
+
+        A request that still waited at the local guard did not run and never
+        will; what was sent to a peer may have run.
+        """
+        event = attempt.Event.LOSE
         if call.job is not None:
             self.guard.cancel(call.job)
+            if call.job.handed_at < 0:
+                event = attempt.Event.REFUSE
         elif call.link is not None:
             call.link.send(frames.Cancel(call.number))
         if call.outcomes:
-            self.apply_event(call, attempt.Event.LOSE)
+            self.apply_event(call, event)
         self.end_attempt(call, failed=False)
 
     def link_lost(self, peer_link: link.Link) -> None:
--- a/src/currantcart/proxy/requests/outbound.py
+++ b/src/currantcart/proxy/requests/outbound.py
@@ -335,15 +335,37 @@
         503 means that it did not run or may run again, 502 that its outcome is
         unknown.
         """
-        final = attempt.final_answer(
-            call.outcomes, idempotent=call.request.route.idempotent
-        )
+        self.end_unanswered(call, idempotent=call.request.route.idempotent)
+
+    def end_unanswered(
+        self, call: call_module.Call, *, idempotent: bool
+    ) -> None:
+        """Ends a request without an answer of a target.
+
+        Args:
+          call: The request.
+          idempotent: Whether it is answered 503 even if it may have run.
+        """
+        final = attempt.final_answer(call.outcomes, idempotent=idempotent)
         if final is attempt.AnswerKind.NOT_RUN:
             call.retry_after_ms = call.retry_after_ms or UNREADY_RETRY_MS
             self.finish(call, 503, call.last_code)
         else:
             self.finish(call, 502, call.last_code)
 
+    def end_all(self) -> None:
+        """Ends all requests in progress, as the node ends.
+
+        A complete answer costs a caller less than a connection that is closed
+        without one: 503 for what never ran, 502 for all else.
+        """
+        for call in list(self.calls):
+            # The answer to another one may have closed its connection.
+            if not call.done:
+                self.attempts.cancel(call)
+                call.last_code = "draining"
+                self.end_unanswered(call, idempotent=False)
+
     def refuse_quarantined(self, call: call_module.Call) -> None:
         """Ends a request that would be sent, but has ended too many targets."""
         self.context.counts.add("quarantine_refusals", call.service)
--- a/tests/proxy/callers/test_callers.py
+++ b/tests/proxy/callers/test_callers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import pytest
 
 from bench.standins import http_target
@@ -272,6 +274,39 @@
     assert await draining == 0
 
 
+async def test_at_the_end_of_a_shutdown_requests_are_answered(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """Guards against connections that are closed without an answer.
+
+    What was handed to the target gets 502, since it may have run; what still
+    waits never does, and gets 503, also at another node.
+    """
+    place = await mesh.add("a", slots=2)
+    peer = await mesh.add("b", service="other")
+    await mesh.settle()
+    place.target.script = fake_mesh.silent
+    callers = []
+    for name, node in (("ran", place), ("waits", place), ("peers", peer)):
+        callers.append(await mesh.connect(node))
+        callers[-1].send(
+            fake_mesh.request(
+                "/pay/1", method="POST", body=b"fee", request_id=name,
+                deadline=20_000,
+            )
+        )  # fmt: skip
+        await mesh.settle(0.05)
+    for _, _, ticket in place.node.guard.queue.heap:
+        ticket.wait_until = math.inf
+    for call in place.node.outbound.calls | peer.node.outbound.calls:
+        assert call.timer is not None
+        call.timer.cancel()
+    assert await place.node.drain()
+    statuses = [(await caller.reply()).status for caller in callers]
+    assert statuses == [502, 503, 503]
+    assert [seen.request_id for seen in place.target.seen] == ["ran"]
+
+
 async def test_a_connection_that_stalls_within_a_body_is_closed(
     mesh: fake_mesh.Mesh,
 ) -> None:
