End an answer whose head or framing never ends

Cause: the limit of 64 KB was asked only when a header line was complete. The parser keeps an incomplete line and copies it with each part; interim answers, reason phrases, chunk extensions and trailers were counted nowhere.

Change: http1.framing_limit counts all that is fed to the parser for one request and is no body, whatever its form, and parses at most 64 KB between two checks. Above 64 KB the request is lost as with any broken answer (outcome unknown, the connection is aborted, it counts against the target). So is a request before whose answer more than four of other requests came. The store's answers and health checks go through the same connections.

Test: test_bytes_without_end_that_are_no_body_lose_the_request; six of its eight forms and the one of other requests' answers failed before.

--- a/src/currantcart/http1/pool.py
+++ b/src/currantcart/http1/pool.py
@@ -15,10 +15,12 @@
 
 import httptools
 
+from currantcart.http1 import framing_limit
 from currantcart.http1 import transport as stream
 
 ANSWER_BYTES_MAX = 64 * 1024 * 1024
-HEAD_BYTES_MAX = 64 * 1024
+MISMATCHES_MAX = 4
+"""Answers of other requests that may come before the one that is due."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -41,6 +43,9 @@
         coding, so that its body ends with the connection.
       bodiless: Whether the request's method allows no body in the answer.
       idle_ms: Idle time-out announced by the target; 0 if unknown.
+      size: Bytes of the current body.
+      framing: Limit on the bytes for one request that belong to no body.
+        Interim answers count as well.
     """
 
     def __init__(self) -> None:
@@ -55,6 +60,21 @@
         self.headers: list[tuple[bytes, bytes]] = []
         self.parts: list[bytes] = []
         self.size = 0
+        self.framing = framing_limit.FramingLimit()
+
+    def feed(self, data: bytes) -> None:
+        """Parses received bytes.
+
+        Raises:
+          httptools.HttpParserError: The bytes are not an answer, or exceed a
+            limit.
+        """
+        for part in framing_limit.parts(data):
+            self.parser.feed_data(part)
+            if self.framing.is_exceeded_by(len(part)):
+                raise httptools.HttpParserError(
+                    f"over {self.framing.limit} bytes of head or framing"
+                )
 
     def on_message_begin(self) -> None:
         """Resets the state for the next answer."""
@@ -66,17 +86,9 @@
         self.size = 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores a header field and discards trailer fields.
-
-        Raises:
-          ValueError: The head is too large.
-        """
-        if self.head_done:
-            return
-        self.size += len(name) + len(value)
-        if self.size > HEAD_BYTES_MAX:
-            raise ValueError("head of the answer is too large")
-        self.headers.append((name, value))
+        """Stores a header field and discards trailer fields."""
+        if not self.head_done:
+            self.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Determines the framing of the body and the idle time-out."""
@@ -90,7 +102,6 @@
                 self.idle_ms = parse_keep_alive_timeout(value) or self.idle_ms
         status = self.parser.get_status_code()
         self.close_delimited = not framed and status not in (204, 304)
-        self.size = 0
         if self.bodiless:
             # The parser would wait for a body, so the connection is not reused.
             self.in_message = self.keep_alive = False
@@ -103,6 +114,7 @@
           ValueError: The body is too large.
         """
         self.size += len(chunk)
+        self.framing.add_body(len(chunk))
         if self.size > ANSWER_BYTES_MAX:
             raise ValueError("body of the answer is too large")
         self.parts.append(chunk)
@@ -154,6 +166,7 @@
       idle_since: When the connection became idle.
       transport: None once the connection is closed.
       mismatched: Whether an answer without its request was received.
+      mismatches: How many since the current request was sent.
     """
 
     def __init__(self) -> None:
@@ -163,6 +176,7 @@
         self.idle_since = 0.0
         self.transport: asyncio.Transport | None = None
         self.mismatched = False
+        self.mismatches = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport."""
@@ -177,6 +191,8 @@
     ) -> None:
         """Sends a request; `on_answer` or `on_lost` reports the outcome."""
         self.on_answer, self.on_lost = on_answer, on_lost
+        self.reader.framing.reset()
+        self.mismatches = 0
         if not stream.write(self.transport, data):
             self.fail("closed")
 
@@ -187,7 +203,7 @@
             self.abort()
             return
         try:
-            self.reader.parser.feed_data(data)
+            self.reader.feed(data)
         except httptools.HttpParserError as error:
             self.deliver_answers()
             self.fail(f"invalid HTTP answer: {error}")
@@ -206,7 +222,11 @@
             if not on_answer(response):
                 # A late answer of an earlier request; the current one is due.
                 self.mismatched = True
+                self.mismatches += 1
                 self.on_answer, self.on_lost = on_answer, on_lost
+                if self.mismatches > MISMATCHES_MAX:
+                    self.fail("too many answers of other requests")
+                    return
                 if not self.reader.keep_alive:
                     self.fail("closed after another request's answer")
                     return
--- a/tests/http1/test_pool.py
+++ b/tests/http1/test_pool.py
@@ -157,3 +157,83 @@
     )
     made.give_back(client.connection, 0.0)
     assert (made.take(waited_ms) is client.connection) is kept
+
+
+PIECE_BYTES = 16 * 1024
+ENDLESS_BYTES_MAX = 256 * 1024
+"""Bytes after which a request whose answer never ends must be lost."""
+
+
+@pytest.mark.parametrize(
+    ("start", "more"),
+    [
+        (b"HTTP/1.1 200 ", b"O" * PIECE_BYTES),
+        (b"HTTP/1.1 200 OK\r\nX-Line: ", b"x" * PIECE_BYTES),
+        (b"HTTP/1.1 200 OK\r\n", b"X-Line: 1\r\n" * 1_000),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 600),
+        (b"HTTP/1.1 103 Early Hints\r\nX-Line: ", b"x" * PIECE_BYTES),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;",
+            b"x" * PIECE_BYTES,
+        ),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"2\r\nok\r\n0\r\nX-Trailer: ",
+            b"x" * PIECE_BYTES,
+        ),
+        (b"", b"no answer"),
+    ],
+    ids=[
+        "reason", "header line", "header lines", "interim answers",
+        "interim header line", "chunk extension", "trailer", "no HTTP",
+    ],
+)  # fmt: skip
+def test_bytes_without_end_that_are_no_body_lose_the_request(
+    client: Client, start: bytes, more: bytes
+) -> None:
+    """Guards against a target that never ends its head, nor its trailer."""
+    client.connection.data_received(start + more)
+    received = len(more)
+    while not client.wire.aborted and received < ENDLESS_BYTES_MAX:
+        client.connection.data_received(more)
+        received += len(more)
+    assert client.wire.aborted
+    assert len(client.lost) == 1
+    assert not client.answers
+
+
+def test_answers_without_end_to_other_requests_lose_the_request() -> None:
+    """Guards against a target that answers everything but what it was asked."""
+    connection, wire = pool.Connection(), FakeTransport()
+    connection.connection_made(cast(asyncio.BaseTransport, wire))
+    lost: list[str] = []
+    connection.send(b"request", lambda _: False, lost.append)
+    for _ in range(10):
+        connection.data_received(COMPLETE)
+    assert wire.aborted
+    assert len(lost) == 1
+
+
+def test_a_body_in_the_smallest_chunks_is_whole(client: Client) -> None:
+    """Guards against a limit on framing that ends proper answers."""
+    count = 100_000
+    client.connection.data_received(
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        + b"1\r\nx\r\n" * count
+        + b"0\r\n\r\n"
+    )
+    assert [len(answer.body) for answer in client.answers] == [count]
+
+
+def test_an_answer_after_others_of_earlier_requests_is_matched() -> None:
+    connection, wire = pool.Connection(), FakeTransport()
+    connection.connection_made(cast(asyncio.BaseTransport, wire))
+    answers: list[bytes] = []
+
+    def take(response: pool.Response) -> bool:
+        answers.append(response.body)
+        return len(answers) > pool.MISMATCHES_MAX
+
+    connection.send(b"request", take, lambda _: None)
+    connection.data_received(COMPLETE * (pool.MISMATCHES_MAX + 1))
+    assert len(answers) == pool.MISMATCHES_MAX + 1
