Reject a caller's head or trailer that never ends

One line without end used memory until the header time-out (3 s).

Change: requests are counted by http1.framing_limit as well; a head above the limit gets 431, a trailer or chunk framing 400.

Test: test_a_head_or_trailer_without_end_is_rejected_at_once; the header line and the trailer failed before (no answer after 1 MB).

--- a/src/currantcart/proxy/callers/request_reader.py
+++ b/src/currantcart/proxy/callers/request_reader.py
@@ -7,6 +7,7 @@
 import httptools
 
 from currantcart.catalog import model as catalog_model
+from currantcart.http1 import framing_limit
 from currantcart.proxy import context as proxy_context
 from currantcart.proxy.callers import exchange as exchange_module
 from currantcart.proxy.requests import intake
@@ -37,6 +38,8 @@
       reading: The request that is being read; None between two requests.
       head_started_at: When the first bytes of its head were received; 0
         between two heads.
+      framing: Limit on the bytes of a request that belong to no body.
+      completed: Number of complete requests.
       error_code: Why the parser was stopped; empty for its own errors.
     """
 
@@ -75,6 +78,8 @@
         self.head_done = False
         self.connection_options: set[bytes] = set()
         self.error_code = ""
+        self.framing = framing_limit.FramingLimit()
+        self.completed = 0
 
     def feed(self, data: bytes) -> None:
         """Parses received bytes.
@@ -85,7 +90,8 @@
         if self.head_started_at == 0.0 and self.reading is None:
             self.head_started_at = self.context.now
         try:
-            self.parser.feed_data(data)
+            for part in framing_limit.parts(data):
+                self.feed_part(part)
         except httptools.HttpParserUpgrade as error:
             raise ParseError(
                 400, "upgrade_unsupported", "protocol upgrade requested"
@@ -93,6 +99,26 @@
         except httptools.HttpParserError as error:
             raise ParseError(*self.error_status(), str(error)) from error
 
+    def feed_part(self, part: bytes) -> None:
+        """Parses a part of the received bytes.
+
+        A part may hold several short requests. What it has of the last one
+        counts from the next part on.
+
+        Raises:
+          httptools.HttpParserError: It isn't part of a request, or exceeds a
+            limit.
+        """
+        completed = self.completed
+        self.parser.feed_data(part)
+        if self.completed != completed:
+            self.framing.reset()
+        elif self.framing.is_exceeded_by(len(part)):
+            self.error_code = "" if self.head_done else "headers_too_large"
+            raise httptools.HttpParserError(
+                f"over {self.framing.limit} bytes of head or framing"
+            )
+
     def error_status(self) -> tuple[int, str]:
         """Returns status and code of the answer to a parser error."""
         if self.error_code == "headers_too_large":
@@ -108,6 +134,9 @@
         self.reading = self.new_exchange()
         self.url = b""
         self.header_bytes = 0
+        self.framing.limit = max(
+            framing_limit.BYTES_MAX, self.limits().header_bytes
+        )
         self.hosts = 0
         self.head_done = False
         self.connection_options = set()
@@ -205,6 +234,7 @@
         """
         exchange = self.reading
         assert exchange is not None
+        self.framing.add_body(len(chunk))
         exchange.size += len(chunk)
         if exchange.size > self.limits().body_bytes:
             self.error_code = "body_too_large"
@@ -219,6 +249,7 @@
 
     def on_message_complete(self) -> None:
         """Completes a request."""
+        self.completed += 1
         if self.reading is not None:
             self.reading.complete = True
             self.reading = None
--- a/tests/proxy/callers/test_callers.py
+++ b/tests/proxy/callers/test_callers.py
@@ -307,6 +307,35 @@
     assert [seen.request_id for seen in place.target.seen] == ["ran"]
 
 
+@pytest.mark.parametrize(
+    ("start", "status"),
+    [
+        (b"GET /read/1", 431),
+        (b"GET /read/1 HTTP/1.1\r\nX-Line: ", 431),
+        (
+            b"POST /pay/1 HTTP/1.1\r\nHost: shop.example\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-Trailer: ",
+            400,
+        ),
+    ],
+    ids=["path", "header line", "trailer"],
+)
+async def test_a_head_or_trailer_without_end_is_rejected_at_once(
+    mesh: fake_mesh.Mesh, start: bytes, status: int
+) -> None:
+    """Guards against callers whose incomplete lines use up the memory."""
+    place = await start_place(mesh)
+    caller = await mesh.connect(place)
+    caller.send(start)
+    sent_bytes = 0
+    while not caller.replies and sent_bytes < 1_000_000:
+        caller.send(b"x" * 16_384)
+        sent_bytes += 16_384
+        await mesh.settle(0.01)
+    assert caller.replies[0].status == status
+    assert sent_bytes < 256 * 1024
+
+
 async def test_a_connection_that_stalls_within_a_body_is_closed(
     mesh: fake_mesh.Mesh,
 ) -> None:
