Take an answer with a status that HTTP does not have for a broken one

Cause: the parser accepts 0 to 999 and the table of status lines ends at 599. Looking the status up raised after the call and its timer had been removed, inside the handler of the stream's bytes.

Change: the connection to the target checks the status where the head is complete. Such an answer is a broken one: outcome unknown, connection aborted, 502 or a retry. An unasked change of protocol (101), which the parser reports in another way, is handled in the same place.

Test: test_outcomes.py, fault no_status; both of its tests failed before. The fault "upgrade" passed before as well (the event loop closed the connection).

--- a/src/currantcart/http1/pool.py
+++ b/src/currantcart/http1/pool.py
@@ -16,6 +16,7 @@
 import httptools
 
 from currantcart.http1 import framing_limit
+from currantcart.http1 import status as status_module
 from currantcart.http1 import transport as stream
 
 ANSWER_BYTES_MAX = 64 * 1024 * 1024
@@ -68,6 +69,7 @@
         Raises:
           httptools.HttpParserError: The bytes are not an answer, or exceed a
             limit.
+          httptools.HttpParserUpgrade: The target changes the protocol.
         """
         for part in framing_limit.parts(data):
             self.parser.feed_data(part)
@@ -91,7 +93,14 @@
             self.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
-        """Determines the framing of the body and the idle time-out."""
+        """Determines the framing of the body and the idle time-out.
+
+        Raises:
+          ValueError: The status is not one of HTTP, which the parser accepts.
+        """
+        status = self.parser.get_status_code()
+        if not status_module.is_valid(status):
+            raise ValueError(f"invalid status {status}")
         self.head_done = True
         framed = False
         for name, value in self.headers:
@@ -100,7 +109,6 @@
                 framed = True
             elif lower == b"keep-alive":
                 self.idle_ms = parse_keep_alive_timeout(value) or self.idle_ms
-        status = self.parser.get_status_code()
         self.close_delimited = not framed and status not in (204, 304)
         if self.bodiless:
             # The parser would wait for a body, so the connection is not reused.
@@ -204,7 +212,10 @@
             return
         try:
             self.reader.feed(data)
-        except httptools.HttpParserError as error:
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as error:
             self.deliver_answers()
             self.fail(f"invalid HTTP answer: {error}")
             return
--- a/tests/proxy/requests/test_outcomes.py
+++ b/tests/proxy/requests/test_outcomes.py
@@ -51,6 +51,19 @@
     return b"\x00\x17 no answer at all\r\n\r\n"
 
 
+def no_status(seen: http_target.Seen) -> bytes:
+    """Returns an answer with a status that HTTP does not have."""
+    return http_target.sealed(seen, status=600)
+
+
+def upgrade(seen: http_target.Seen) -> bytes:
+    del seen
+    return (
+        b"HTTP/1.1 101 Switching Protocols\r\n"
+        b"Connection: upgrade\r\nUpgrade: other\r\n\r\n"
+    )
+
+
 def answer_to_another(seen: http_target.Seen) -> bytes:
     other = http_target.Seen(
         seen.method, seen.path, {"currantcart-request-id": "other"}, b""
@@ -67,7 +80,8 @@
 
 
 FAULTS = pytest.mark.parametrize(
-    "fault", [truncated, malformed, answer_to_another, unsealed]
+    "fault",
+    [truncated, malformed, no_status, upgrade, answer_to_another, unsealed],
 )
 
 
@@ -77,8 +91,8 @@
 ) -> None:
     """Guards against a payment that runs twice.
 
-    The target runs it, and its answer is truncated, malformed, unsealed or
-    for another request.
+    The target runs it, and its answer is truncated, malformed, unsealed, for
+    another request, or has a status that cannot be passed on.
     """
     front, near, far = await two_targets(mesh)
     near.target.script = far.target.script = fault
