Hold the bodies of all exchanges on one account that the memory bounds

Cause: three limits that did not know of each other, 96 MB for callers' bodies, 96 MB for peers' and 64 MB for each answer, of which a node may read dozens. None followed from the memory of the process, and each body lies there twice or three times.

Change: held_bytes is one account for bodies of callers, of peers and of answers; its limit follows from the new setting memory_mb (the platform's memory-mb). One answer gets a quarter. Requests are refused first, as not run; 4 MiB are left to answers, and one of up to 64 KiB always finds room. A body is reserved whole where its length is known, what a slow caller has not read is counted, and one copy of a caller's body is dropped.

--- a/bench/standins/http_target.py
+++ b/bench/standins/http_target.py
@@ -46,6 +46,19 @@
     ).encode()
 
 
+@dataclasses.dataclass(frozen=True)
+class Endless:
+    """Bytes that are sent until the caller closes the connection.
+
+    Attributes:
+      start: Sent once.
+      piece: Sent again and again.
+    """
+
+    start: bytes
+    piece: bytes
+
+
 HEALTH_PATH = "/health"
 Script = Callable[[Seen], bytes | None]
 
@@ -57,6 +70,8 @@
     Attributes:
       target_id: Id that requests are checked against.
       script: Returns the bytes of an answer, or None to send no answer.
+      endless: Answers without end, by the path of the request; they take the
+        place of the script's.
       work_seconds: Processing time of a request.
       shed_ratio: Share of requests that are answered as not executed.
       on_run: Called with each request that runs.
@@ -75,6 +90,7 @@
 
     target_id: str = "t1"
     script: Script = sealed
+    endless: dict[str, Endless] = dataclasses.field(default_factory=dict)
     work_seconds: float = 0.01
     shed_ratio: float = 0.0
     on_run: Callable[[Seen], None] | None = None
@@ -114,6 +130,8 @@
         self.parser = httptools.HttpRequestParser(self)
         self.transport: asyncio.Transport | None = None
         self.tasks: set[asyncio.Task[None]] = set()
+        self.writable = asyncio.Event()
+        self.writable.set()
         self.begin()
 
     def begin(self) -> None:
@@ -168,6 +186,21 @@
         if self.transport is not None:
             self.transport.write(self.target.with_stated(answer))
 
+    async def write_endless(self, answer: Endless) -> None:
+        """Writes as fast as the caller reads, until it closes."""
+        data = answer.start
+        while self.transport is not None:
+            self.transport.write(data)
+            data = answer.piece
+            await asyncio.sleep(0)
+            await self.writable.wait()
+
+    def pause_writing(self) -> None:
+        self.writable.clear()
+
+    def resume_writing(self) -> None:
+        self.writable.set()
+
     async def work(self, seen: Seen) -> None:
         target = self.target
         if target.shed_ratio and random.random() < target.shed_ratio:
@@ -185,7 +218,10 @@
             await asyncio.sleep(target.work_seconds)
         finally:
             target.running -= 1
-        answer = target.script(seen)
+        endless = target.endless.get(seen.path)
+        answer = target.script(seen) if endless is None else None
+        if endless is not None:
+            await self.write_endless(endless)
         if answer is not None:
             self.write(answer)
         if target.cut_after and self.transport is not None:
@@ -194,6 +230,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         del exc
         self.transport = None
+        self.writable.set()
         self.target.dropped += len(self.tasks)
         for task in self.tasks:
             task.cancel()
--- a/src/currantcart/http1/pool.py
+++ b/src/currantcart/http1/pool.py
@@ -15,11 +15,11 @@
 
 import httptools
 
+from currantcart import held_bytes
 from currantcart.http1 import framing_limit
 from currantcart.http1 import status as status_module
 from currantcart.http1 import transport as stream
 
-ANSWER_BYTES_MAX = 64 * 1024 * 1024
 MISMATCHES_MAX = 4
 """Answers of other requests that may come before the one that is due."""
 
@@ -45,11 +45,15 @@
       bodiless: Whether the request's method allows no body in the answer.
       idle_ms: Idle time-out announced by the target; 0 if unknown.
       size: Bytes of the current body.
+      held: Account of the bodies in memory.
+      reserved: Bytes of this connection's bodies on that account.
       framing: Limit on the bytes for one request that belong to no body.
         Interim answers count as well.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, held: held_bytes.HeldBytes) -> None:
+        self.held = held
+        self.reserved = 0
         self.parser = httptools.HttpResponseParser(self)
         self.complete: list[Response] = []
         self.in_message = False
@@ -119,12 +123,13 @@
         """Stores a part of the body.
 
         Raises:
-          ValueError: The body is too large.
+          ValueError: There is no room for it.
         """
-        self.size += len(chunk)
         self.framing.add_body(len(chunk))
-        if self.size > ANSWER_BYTES_MAX:
-            raise ValueError("body of the answer is too large")
+        if not self.held.reserve_answer(len(chunk), so_far=self.size):
+            raise ValueError(f"no room for over {self.size} bytes of body")
+        self.reserved += len(chunk)
+        self.size += len(chunk)
         self.parts.append(chunk)
 
     def on_message_complete(self) -> None:
@@ -142,6 +147,25 @@
                 Response(status, self.headers, b"".join(self.parts))
             )
 
+    def release_delivered(self) -> None:
+        """Releases the bodies of all answers that are complete."""
+        kept = self.size if self.in_message else 0
+        self.held.release(self.reserved - kept)
+        self.reserved = kept
+        if not self.in_message:
+            self.parts = []
+
+    def release_all(self) -> None:
+        """Releases all that was read, since no more will be.
+
+        The parser and its callbacks refer to each other, so that this object
+        lives until the next garbage collection.
+        """
+        self.held.release(self.reserved)
+        self.reserved = 0
+        self.parts = []
+        self.headers = []
+
     def end_of_stream(self) -> None:
         """Completes an answer that is delimited by the connection's end."""
         if self.in_message and self.close_delimited:
@@ -177,8 +201,8 @@
       mismatches: How many since the current request was sent.
     """
 
-    def __init__(self) -> None:
-        self.reader = ResponseParser()
+    def __init__(self, held: held_bytes.HeldBytes) -> None:
+        self.reader = ResponseParser(held)
         self.on_answer: Callable[[Response], bool] | None = None
         self.on_lost: Callable[[str], None] | None = None
         self.idle_since = 0.0
@@ -224,6 +248,11 @@
     def deliver_answers(self) -> None:
         """Delivers the answer of the current request and discards others."""
         complete, self.reader.complete = self.reader.complete, []
+        self.match_answers(complete)
+        self.reader.release_delivered()
+
+    def match_answers(self, complete: list[Response]) -> None:
+        """Delivers the first answer that belongs to the current request."""
         for response in complete:
             if self.on_answer is None:
                 self.mismatched = True
@@ -275,6 +304,7 @@
     def abort(self) -> None:
         """Aborts the connection; the target cancels a request it still runs."""
         self.on_answer = self.on_lost = None
+        self.reader.release_all()
         transport, self.transport = self.transport, None
         if transport is not None:
             transport.abort()
@@ -301,8 +331,20 @@
     """
 
     def __init__(
-        self, *, address: tuple[str, int], loop: asyncio.AbstractEventLoop
+        self,
+        *,
+        address: tuple[str, int],
+        loop: asyncio.AbstractEventLoop,
+        held: held_bytes.HeldBytes,
     ) -> None:
+        """Initializes it.
+
+        Args:
+          address: Host and port of the target.
+          loop: Event loop.
+          held: Account of the bodies in memory.
+        """
+        self.held = held
         self.address = address
         self.loop = loop
         self.idle: list[Connection] = []
@@ -336,7 +378,7 @@
         try:
             async with asyncio.timeout(CONNECT_SECONDS_MAX):
                 _, connection = await self.loop.create_connection(
-                    Connection, *self.address
+                    lambda: Connection(self.held), *self.address
                 )
         except TimeoutError:
             on_failed(TIMED_OUT)
--- a/src/currantcart/platform/store.py
+++ b/src/currantcart/platform/store.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from currantcart import clock as clock_module
-from currantcart import decoding
+from currantcart import decoding, held_bytes
 from currantcart.http1 import pool
 from currantcart.store import leased, port
 
@@ -104,8 +104,9 @@
         *,
         clock: clock_module.Clock,
         loop: asyncio.AbstractEventLoop,
+        held: held_bytes.HeldBytes,
     ) -> None:
-        self.pool = pool.Pool(address=address, loop=loop)
+        self.pool = pool.Pool(address=address, loop=loop, held=held)
         self.peer = f"{address[0]}:{address[1]}"
         self.clock = clock
         self.loop = loop
--- a/src/currantcart/proxy/callers/caller.py
+++ b/src/currantcart/proxy/callers/caller.py
@@ -42,12 +42,6 @@
     def is_last_answer(self, code: int) -> bool:
         """Returns whether a connection is closed after an answer."""
 
-    def reserve(self, size: int) -> bool:
-        """Reserves memory for bytes; returns whether there is room."""
-
-    def release(self, size: int) -> None:
-        """Releases reserved memory."""
-
     def route(self, exchange: exchange_module.Exchange) -> None:
         """Checks a complete request, and routes or rejects it."""
 
@@ -67,6 +61,7 @@
       active_at: When bytes were last received or answers written.
       paused: Whether reading is paused.
       write_paused: Whether the write buffer is full.
+      unsent: Bytes of answers in a full write buffer, as last counted.
       closing: Whether the connection is closing, and reads no more.
     """
 
@@ -79,7 +74,7 @@
         self.reader = request_reader.RequestReader(
             owner.context,
             limits=lambda: owner.limits,
-            reserve=owner.reserve,
+            held=owner.context.held,
             new_exchange=lambda: exchange_module.Exchange(self),
             add_exchange=self.add_exchange,
             send_continue=lambda: self.write(CONTINUE),
@@ -88,6 +83,7 @@
         self.active_at = owner.context.now
         self.paused = False
         self.write_paused = False
+        self.unsent = 0
         self.closing = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -202,7 +198,7 @@
         written: list[bytes] = []
         while self.exchanges and (answer := self.exchanges[0].answer):
             exchange = self.exchanges.popleft()
-            self.owner.release(exchange.size)
+            self.context.held.release(exchange.held)
             written.append(answer)
             if exchange.close:
                 self.closing = True
@@ -212,6 +208,7 @@
         assert self.transport is not None
         self.active_at = self.context.now
         self.write(b"".join(written))
+        self.hold_unsent()
         if self.closing:
             self.cancel_exchanges()
             self.transport.close()
@@ -228,15 +225,25 @@
     def resume_writing(self) -> None:
         """Resumes reading, if nothing else pauses it."""
         self.write_paused = False
+        self.hold_unsent()
         self.apply_backpressure()
 
+    def hold_unsent(self) -> None:
+        """Counts what a caller that reads slowly has not read yet."""
+        unsent = 0
+        if self.write_paused and self.transport is not None:
+            unsent = self.transport.get_write_buffer_size()
+        self.context.held.release(self.unsent)
+        self.context.held.hold(unsent)
+        self.unsent = unsent
+
     # Closing.
 
     def cancel_exchanges(self) -> None:
         """Cancels the open requests, and releases their memory."""
         exchanges, self.exchanges = self.exchanges, collections.deque()
         for exchange in exchanges:
-            self.owner.release(exchange.size)
+            self.context.held.release(exchange.held)
             if exchange.call is not None:
                 self.owner.cancel(exchange.call)
                 exchange.call = None
@@ -255,6 +262,7 @@
         del exc
         self.transport = None
         self.closing = True
+        self.hold_unsent()
         self.owner.closed(self)
         self.cancel_exchanges()
 
--- a/src/currantcart/proxy/callers/exchange.py
+++ b/src/currantcart/proxy/callers/exchange.py
@@ -32,6 +32,7 @@
       rejection: Why the request is not routed; None when it may be.
       parts: Parts of its body, in order.
       size: Bytes of its body received so far.
+      held: Bytes of its body that are held in memory.
       complete: Whether the complete request was read.
       call: The routed request; None before routing and after its answer.
       waiter: Its wait for a token; None unless it waits.
@@ -47,6 +48,7 @@
         "close",
         "complete",
         "head",
+        "held",
         "parts",
         "rejection",
         "size",
@@ -61,6 +63,7 @@
         self.rejection: intake.Rejection | None = None
         self.parts: list[bytes] = []
         self.size = 0
+        self.held = 0
         self.complete = False
         self.call: call_module.Call | None = None
         self.waiter: rate_line.Waiter | None = None
--- a/src/currantcart/proxy/callers/frontend.py
+++ b/src/currantcart/proxy/callers/frontend.py
@@ -25,12 +25,9 @@
       bound: Limit on the number of open connections.
       all_closed: Set when the last open connection is closed.
       saturated: Whether there are so many that idle ones are closed.
-      held_bytes: Bytes of request bodies in memory.
       rate_wait: Requests that wait for a token of their workspace's rate.
     """
 
-    HELD_BYTES_MAX = 96 * 1024 * 1024
-
     def __init__(
         self,
         context: proxy_context.Context,
@@ -50,7 +47,6 @@
         )
         self.all_closed = asyncio.Event()
         self.saturated = False
-        self.held_bytes = 0
         self.rate_wait = rate_wait.RateWait(
             context,
             quotas=checks.quotas,
@@ -108,17 +104,6 @@
             opened=len(self.connections), failed=code >= status.NO_SUCCESS
         )
 
-    def reserve(self, size: int) -> bool:
-        """Reserves memory for bytes; returns whether there is room."""
-        if self.held_bytes + size > self.HELD_BYTES_MAX:
-            return False
-        self.held_bytes += size
-        return True
-
-    def release(self, size: int) -> None:
-        """Releases reserved memory."""
-        self.held_bytes = max(0, self.held_bytes - size)
-
     def route(self, exchange: exchange_module.Exchange) -> None:
         """Checks a complete request, and routes or rejects it."""
         checked: intake.Request | intake.Rejection | intake.TokenNeeded
@@ -145,6 +130,7 @@
     ) -> None:
         """Routes a request that passed the checks."""
         request.body = b"".join(exchange.parts)
+        exchange.parts.clear()
         exchange.call = self.outbound.begin(
             request,
             self.rate_wait.timed(exchange, request)
--- a/src/currantcart/proxy/callers/request_reader.py
+++ b/src/currantcart/proxy/callers/request_reader.py
@@ -6,6 +6,7 @@
 
 import httptools
 
+from currantcart import held_bytes
 from currantcart.catalog import model as catalog_model
 from currantcart.http1 import framing_limit
 from currantcart.proxy import context as proxy_context
@@ -48,7 +49,7 @@
         context: proxy_context.Context,
         *,
         limits: Callable[[], catalog_model.CallerLimits],
-        reserve: Callable[[int], bool],
+        held: held_bytes.HeldBytes,
         new_exchange: Callable[[], exchange_module.Exchange],
         add_exchange: Callable[[exchange_module.Exchange], None],
         send_continue: Callable[[], None],
@@ -58,14 +59,14 @@
         Args:
           context: State that the parts of the node share.
           limits: Returns the current limits on what a caller may send.
-          reserve: Reserves memory for bytes; returns whether there is room.
+          held: Account of the bodies in memory.
           new_exchange: Returns the exchange for a new request.
           add_exchange: Adds an exchange whose head is complete.
           send_continue: Sends 100 Continue to the caller.
         """
         self.context = context
         self.limits = limits
-        self.reserve = reserve
+        self.held = held
         self.new_exchange = new_exchange
         self.add_exchange = add_exchange
         self.send_continue = send_continue
@@ -239,12 +240,18 @@
         if exchange.size > self.limits().body_bytes:
             self.error_code = "body_too_large"
             raise ValueError(self.error_code)
-        if not self.reserve(len(chunk)):
+        if exchange.rejection is not None:
+            return
+        if not self.held.reserve(len(chunk)):
             exchange.rejection = intake.Rejection(
                 503, "memory_full", MEMORY_RETRY_MS
             )
             exchange.close = True
+            self.held.release(exchange.held)
+            exchange.held = 0
+            exchange.parts.clear()
             return
+        exchange.held += len(chunk)
         exchange.parts.append(chunk)
 
     def on_message_complete(self) -> None:
--- a/src/currantcart/proxy/context.py
+++ b/src/currantcart/proxy/context.py
@@ -8,6 +8,7 @@
 import random
 
 from currantcart import clock as clock_module
+from currantcart import held_bytes
 from currantcart.call import quarantine as quarantine_module
 from currantcart.catalog import model as catalog_model
 from currantcart.fleet import evacuation, freshness
@@ -42,6 +43,7 @@
       status_interval_ms: Time between two statuses on a stream.
       direct_interval_ms: The same for a node that sends its status to all
         others.
+      held: Bodies in memory, against the memory of the process.
       started_at: Start of this process, in milliseconds of the node's clock.
     """
 
@@ -67,10 +69,12 @@
     leaving: bool = False
     status_interval_ms: float = 400.0
     direct_interval_ms: float = 400.0
+    held: held_bytes.HeldBytes = dataclasses.field(init=False)
     started_at: float = dataclasses.field(init=False)
     quarantine: quarantine_module.Quarantine = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
+        self.held = held_bytes.HeldBytes(self.settings.memory_mb)
         self.started_at = self.now
         self.quarantine = quarantine_module.Quarantine(self.quarantine_limits())
 
--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -311,6 +311,7 @@
             ),
             "relaying": lambda: float(self.peers.relay.is_acting),
             "calls": lambda: len(self.outbound.calls),
+            "held_bytes": lambda: self.context.held.held,
             "caller_connections": lambda: len(self.callers.connections),
             "running": lambda: queue.running,
             "waiting": lambda: queue.waiting,
@@ -489,6 +490,7 @@
         self.guard.warm_up.configure()
         self.guard.queue.use_fair(fair=settings.fair_shares.enabled)
         self.context.use_quarantine_limits()
+        self.context.held.set_memory(settings.memory_mb)
         self.context.log.event(
             "settings_read",
             changed=settings != before,
--- a/src/currantcart/proxy/requests/attempts.py
+++ b/src/currantcart/proxy/requests/attempts.py
@@ -144,6 +144,11 @@
     ) -> None:
         """Handles a complete answer, or the first part of a long one."""
         if answer.more:
+            size = len(answer.body) + answer.more
+            if not self.context.held.reserve_answer(size, so_far=0):
+                self.handler.lost(call, "memory_full")
+                return
+            call.held = size
             call.partial_answer, call.missing = answer, answer.more
             call.chunks.append(answer.body)
         else:
@@ -178,6 +183,8 @@
         call.link = call.job = call.local_reply = None
         call.partial_answer = None
         call.chunks.clear()
+        self.context.held.release(call.held)
+        call.held = 0
 
     def cancel(self, call: call_module.Call) -> None:
         """Cancels the current attempt.
--- a/src/currantcart/proxy/requests/call.py
+++ b/src/currantcart/proxy/requests/call.py
@@ -41,6 +41,7 @@
       partial_answer: First part of an answer whose body isn't complete.
       chunks: Parts of that body, in order.
       missing: Bytes of that body still to come.
+      held: Bytes that are reserved for that body.
       local_reply: Receives the result of the local guard; a later attempt
         replaces it, so that results of an earlier one are ignored.
       levels: Pressure levels below the service when shedding was decided.
@@ -72,6 +73,7 @@
     partial_answer: frames.Answer | None = None
     chunks: list[bytes] = dataclasses.field(default_factory=list)
     missing: int = 0
+    held: int = 0
     local_reply: object = None
     levels: pressure.Pressure = dataclasses.field(default_factory=dict)
     placed_at: float = 0.0
--- a/src/currantcart/proxy/serve.py
+++ b/src/currantcart/proxy/serve.py
@@ -62,7 +62,10 @@
         ),
     )
     store = platform_store.KeyValueStore(
-        proxy_settings.split_address(settings.store), clock=clock, loop=loop
+        proxy_settings.split_address(settings.store),
+        clock=clock,
+        loop=loop,
+        held=context.held,
     )
     return node.Node(context, store=store, deployment=DEPLOYMENT)
 
--- a/src/currantcart/proxy/settings.py
+++ b/src/currantcart/proxy/settings.py
@@ -153,6 +153,8 @@
       store: Address of the platform's store.
       bounds: Time limits and ratios of the deployment.
       descriptors: File descriptors that the process may open.
+      memory_mb: Memory that the process may use, in MiB; it limits the bodies
+        that are held.
       first_start: Whether the whole fleet starts for the first time, so that
         no earlier process of the node has used the target.
       exchange: How nodes exchange what they know.
@@ -172,6 +174,7 @@
     store: str
     bounds: Bounds = Bounds()
     descriptors: Annotated[int, msgspec.Meta(ge=512)] = 4_096
+    memory_mb: Annotated[int, msgspec.Meta(ge=64)] = 300
     first_start: bool = False
     exchange: Exchange = Exchange()
     rate_queue: RateQueue = RateQueue()
--- a/src/currantcart/proxy/targets/inbound.py
+++ b/src/currantcart/proxy/targets/inbound.py
@@ -9,8 +9,6 @@
 from currantcart.proxy.targets import guard
 from currantcart.proxy.targets import job as job_module
 
-# Limit of the bytes of bodies that are held for peers.
-ASSEMBLED_BYTES_MAX = 96 * 1024 * 1024
 TRANSIT_MS_MAX = 500.0
 """Transit time above which a request from a peer is refused.
 
@@ -31,6 +29,7 @@
       chunks: Parts of the body received so far.
       missing: Bytes of the body not received yet.
       job: The request at the guard; None until the body is complete.
+      held: Bytes that are reserved for its whole body.
     """
 
     inbound: Inbound
@@ -39,12 +38,12 @@
     chunks: list[bytes]
     missing: int
     job: job_module.Job | None = None
+    held: int = 0
 
     def add_chunk(self, chunk: bytes) -> None:
         """Adds a part of the body; offers the request once it is complete."""
         self.chunks.append(chunk)
         self.missing -= len(chunk)
-        self.inbound.held_bytes += len(chunk)
         if self.missing <= 0 and self.job is None:
             self.opening.body = b"".join(self.chunks)
             self.chunks.clear()
@@ -53,9 +52,8 @@
     def release(self) -> None:
         """Removes the request from its stream and releases its memory."""
         self.link.calls.pop(self.opening.call, None)
-        self.inbound.held_bytes -= len(self.opening.body) + sum(
-            map(len, self.chunks)
-        )
+        self.inbound.context.held.release(self.held)
+        self.held = 0
         self.chunks.clear()
 
     def answered(self, status: int, head: bytes, body: bytes) -> None:
@@ -107,18 +105,13 @@
 
 
 class Inbound:
-    """Handles the frames of calls that peers open.
-
-    Attributes:
-      held_bytes: Bytes of bodies that are held for peers.
-    """
+    """Handles the frames of calls that peers open."""
 
     def __init__(
         self, context: proxy_context.Context, local_guard: guard.Guard
     ) -> None:
         self.context = context
         self.guard = local_guard
-        self.held_bytes = 0
 
     def handle_frame(self, stream: link.Link, frame: frames.Frame) -> None:
         """Handles a frame of a call on a stream that a peer dialled.
@@ -146,8 +139,13 @@
         """Accepts or refuses a request; its body may be incomplete."""
         arrival = Arrival(self, stream, opening, [], opening.more)
         stream.calls[opening.call] = arrival
-        self.held_bytes += len(opening.body)
         reason = self.refusal_reason(stream, opening)
+        if not reason:
+            size = len(opening.body) + opening.more
+            if self.context.held.reserve(size):
+                arrival.held = size
+            else:
+                reason = "memory_full"
         if reason:
             arrival.refused(reason, at_target=False, retry_after_ms=0.0)
         elif opening.more:
@@ -160,8 +158,6 @@
         """Returns why a request is refused on arrival; empty if it is not."""
         if self.context.leaving:
             return "draining"
-        if self.held_bytes > ASSEMBLED_BYTES_MAX:
-            return "memory_full"
         sent_at = stream.clock.to_own(opening.sent_ms)
         if self.context.now - sent_at > TRANSIT_MS_MAX:
             return "held_up"
--- a/src/currantcart/proxy/targets/target_exchange.py
+++ b/src/currantcart/proxy/targets/target_exchange.py
@@ -68,6 +68,7 @@
         self.pool = pool.Pool(
             address=proxy_settings.split_address(context.settings.target),
             loop=context.loop,
+            held=context.held,
         )
         names = context.header_names
         self.deadline_line = f"{names.deadline}: %d\r\n".encode()
--- a/tests/http1/test_pool.py
+++ b/tests/http1/test_pool.py
@@ -8,8 +8,10 @@
 
 import pytest
 
+from currantcart import held_bytes
 from currantcart.http1 import pool
 
+MEMORY_MB = 200
 COMPLETE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
@@ -55,9 +57,13 @@
         self.connection.send(b"request", take, self.lost.append)
 
 
+def account() -> held_bytes.HeldBytes:
+    return held_bytes.HeldBytes(MEMORY_MB)
+
+
 @pytest.fixture
 def client() -> Client:
-    connection, wire = pool.Connection(), FakeTransport()
+    connection, wire = pool.Connection(account()), FakeTransport()
     connection.connection_made(cast(asyncio.BaseTransport, wire))
     made = Client(connection, wire)
     made.send_request()
@@ -81,7 +87,9 @@
     assert client.answers
     assert not client.connection.reusable
     made = pool.Pool(
-        address=("10.0.0.1", 1), loop=cast(asyncio.AbstractEventLoop, None)
+        address=("10.0.0.1", 1),
+        loop=cast(asyncio.AbstractEventLoop, None),
+        held=account(),
     )
     made.give_back(client.connection, 0.0)
     assert client.wire.aborted
@@ -153,7 +161,9 @@
         f"HTTP/1.1 200 OK\r\n{header}Content-Length: 0\r\n\r\n".encode()
     )
     made = pool.Pool(
-        address=("10.0.0.1", 1), loop=cast(asyncio.AbstractEventLoop, None)
+        address=("10.0.0.1", 1),
+        loop=cast(asyncio.AbstractEventLoop, None),
+        held=account(),
     )
     made.give_back(client.connection, 0.0)
     assert (made.take(waited_ms) is client.connection) is kept
@@ -204,7 +214,7 @@
 
 def test_answers_without_end_to_other_requests_lose_the_request() -> None:
     """Guards against a target that answers everything but what it was asked."""
-    connection, wire = pool.Connection(), FakeTransport()
+    connection, wire = pool.Connection(account()), FakeTransport()
     connection.connection_made(cast(asyncio.BaseTransport, wire))
     lost: list[str] = []
     connection.send(b"request", lambda _: False, lost.append)
@@ -226,7 +236,7 @@
 
 
 def test_an_answer_after_others_of_earlier_requests_is_matched() -> None:
-    connection, wire = pool.Connection(), FakeTransport()
+    connection, wire = pool.Connection(account()), FakeTransport()
     connection.connection_made(cast(asyncio.BaseTransport, wire))
     answers: list[bytes] = []
 
@@ -237,3 +247,43 @@
     connection.send(b"request", take, lambda _: None)
     connection.data_received(COMPLETE * (pool.MISMATCHES_MAX + 1))
     assert len(answers) == pool.MISMATCHES_MAX + 1
+
+
+@pytest.mark.parametrize(
+    ("start", "more"),
+    [
+        (b"HTTP/1.1 200 OK\r\n\r\n", b"x" * PIECE_BYTES),
+        (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 9000000000\r\n\r\n",
+            b"x" * PIECE_BYTES,
+        ),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+            b"4000\r\n" + b"x" * PIECE_BYTES + b"\r\n",
+        ),
+    ],
+    ids=["no length", "length", "chunks"],
+)  # fmt: skip
+def test_a_body_without_end_gets_a_share_of_the_memory_only(
+    client: Client, start: bytes, more: bytes
+) -> None:
+    """Guards against a target whose bodies take its node over its memory."""
+    held = client.connection.reader.held
+    client.connection.data_received(start)
+    largest = 0
+    while not client.wire.aborted and largest < held.limit:
+        client.connection.data_received(more)
+        largest = max(largest, held.held)
+    assert client.wire.aborted
+    assert len(client.lost) == 1
+    assert largest <= held.limit * held_bytes.ANSWER_SHARE
+    assert held.held == 0
+
+
+def test_a_delivered_body_is_released(client: Client) -> None:
+    held = client.connection.reader.held
+    client.connection.data_received(COMPLETE[:-1])
+    assert held.held == 1
+    client.connection.data_received(COMPLETE[-1:])
+    assert client.answers
+    assert held.held == 0
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -9,9 +9,11 @@
 
 from bench.standins import key_value
 from currantcart import clock as clock_module
+from currantcart import held_bytes
 from currantcart.platform import store as platform_store
 from currantcart.store import leased, port
 
+MEMORY_MB = 200
 ADDRESS = ("10.9.9.9", 1)
 
 
@@ -34,7 +36,10 @@
         return loop.time() * 1_000
 
     made = platform_store.KeyValueStore(
-        ADDRESS, clock=clock_module.Clock(now=now, wall=now), loop=loop
+        ADDRESS,
+        clock=clock_module.Clock(now=now, wall=now),
+        loop=loop,
+        held=held_bytes.HeldBytes(MEMORY_MB),
     )
     yield made
     made.close()
@@ -189,6 +194,7 @@
         ("10.9.9.8", 1),
         clock=clock_module.Clock(now=loop.time, wall=loop.time),
         loop=loop,
+        held=held_bytes.HeldBytes(MEMORY_MB),
     )
     with pytest.raises(port.StoreUnavailable):
         await store.get("n/1")
--- a/tests/proxy/callers/test_callers.py
+++ b/tests/proxy/callers/test_callers.py
@@ -353,7 +353,7 @@
     )
     await mesh.settle(17.0)
     assert caller.ended
-    assert place.node.callers.held_bytes == 0
+    assert place.node.context.held.held == 0
 
 
 async def test_connection_options_do_not_affect_other_connections(
--- a/tests/proxy/callers/test_rate_wait.py
+++ b/tests/proxy/callers/test_rate_wait.py
@@ -61,7 +61,7 @@
     assert callers.rate_wait.timer is None
     assert callers.rate_wait.queue.requests == 0
     assert callers.rate_wait.queue.size == 0
-    assert callers.held_bytes == 0
+    assert place.node.context.held.held == 0
 
 
 def admitted(place: fake_mesh.Place) -> int:
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -58,6 +58,8 @@
     cold_slack = 2.5 if has_optional else default
     assert settings.bounds.cold_slack == cold_slack
     assert settings.descriptors == 4_100
+    memory_mb = 4_100 if has_optional else 300
+    assert settings.memory_mb == memory_mb
     assert settings.placement.by_completion
     assert settings.fair_shares.enabled
     assert settings.rate_queue.enabled
