--- a/src/currantcart/proxy/targets/guard.py
+++ b/src/currantcart/proxy/targets/guard.py
@@ -529,5 +529,6 @@
         self.hand_backs.sweep(soon_ms=SWEEP_SECONDS * 1_000)
         for ticket in self.queue.remove_overdue(self.context.now):
             self.refuse_for_load(ticket.item, "waited_too_long")
-        if self.queue.waiting:
+        # A refused request that was placed here again may have set the timer.
+        if self.queue.waiting and self.sweeping is None:
             self.sweeping = self.loop.call_later(SWEEP_SECONDS, self.sweep)
--- a/tests/proxy/targets/test_guard.py
+++ b/tests/proxy/targets/test_guard.py
@@ -176,6 +176,31 @@
     assert driver.guard.queue.running == driver.guard.queue.waiting == 0
 
 
+async def test_a_sweep_that_queues_requests_again_sets_one_timer(
+    driver: Driver,
+) -> None:
+    """Guards against timers that add up, each of which sweeps the queue."""
+    driver.place.target.work_seconds = 5.0
+    for number in range(SLOTS):
+        driver.submit(f"running-{number}")
+    driver.submit("late", lambda _: driver.submit("next"))
+    driver.guard.queue.heap[0][2].wait_until = 0.0
+    sweeps = 0
+    sweep = driver.guard.sweep
+
+    def counted() -> None:
+        nonlocal sweeps
+        sweeps += 1
+        sweep()
+
+    driver.guard.sweep = counted  # type: ignore[method-assign]
+    await driver.mesh.settle(guard.SWEEP_SECONDS * 10.5)
+    assert driver.replies["late"].ends == ["refused"]
+    assert driver.guard.queue.waiting == 1
+    # The first sweep was scheduled before it was counted.
+    assert sweeps == 9
+
+
 class Disorder:
     """Ends of requests that cancel, submit and refuse others at random."""
 
