--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -28,6 +28,7 @@
 FULL_WORK_SECONDS = 1.2
 """Work time of a target whose slots fill up at the load of a run."""
 FATAL_REPEATS = 10
+PIPELINED_CONNECTIONS = 8
 REGRESSIONS = pathlib.Path(__file__).parent / "regressions.txt"
 
 
@@ -218,6 +219,13 @@
         await asyncio.sleep(rng.uniform(0.2, 0.8))
 
 
+async def pipeline(fleet: world.World, rng: random.Random) -> None:
+    """Sends requests one behind the other on several connections."""
+    await asyncio.gather(
+        *(fleet.call_pipelined(rng) for _ in range(PIPELINED_CONNECTIONS))
+    )
+
+
 HEAVY_FAULTS: tuple[Fault, ...] = (press, press, stutter, kill_full)
 FAULTS: tuple[Fault, ...] = (
     kill, stop_gracefully, pause, reread, spoil_wire, spoil_wire, reset_wire,
@@ -273,6 +281,15 @@
                 injected,
             )
         )
+        fleet.run_in_background(
+            series(
+                fleet,
+                (pipeline,),
+                random.Random(seed + 7),
+                seconds - 1,
+                [],
+            )
+        )
         if heavy:
             fleet.run_in_background(
                 series(
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -32,6 +32,8 @@
 FATAL_PATH = "/read/fatal-"
 """Prefix of the paths of requests that end the target that runs them."""
 ANSWER_SECONDS_MAX = 6.0
+CLOSED_EARLY_SHARE = 0.2
+"""Share of pipelined connections that are closed before all answers."""
 ROUTE_COLUMNS = [
     "name", "host", "prefix", "kind", "timeout-s", "target-latency-s",
     "priority", "max-attempts", "auth-exempt", "service",
@@ -93,6 +95,20 @@
     body: bytes = b""
 
 
+async def read_answer(reader: asyncio.StreamReader) -> Answer:
+    """Reads one answer.
+
+    Raises:
+      EOFError: The connection was closed before it was complete.
+    """
+    lines = (await reader.readuntil(b"\r\n\r\n")).decode()
+    fields = dict(
+        line.lower().split(": ", 1) for line in lines.splitlines()[1:] if line
+    )
+    body = await reader.readexactly(int(fields.get("content-length", "0")))
+    return Answer(int(lines.split(" ", 2)[1]), fields, body)
+
+
 def domain_of(number: int) -> str:
     """Returns the failure domain of a node by its index."""
     return f"d{number % DOMAINS}"
@@ -156,10 +172,12 @@
         """Writes a new version of the configuration to the store."""
         self.version += self.rng.randint(1, 4)
         rows = [
-            [kind, SITE, f"/{kind}/", promise, 3, 1, 1, 2, False, SERVICE]
-            for kind, promise in (
-                ("read", "idempotent"),
-                ("pay", "non_idempotent"),
+            [kind, SITE, f"/{kind}/", promise, 3, 1, 1, 2, keyless, SERVICE]
+            for kind, promise, keyless in (
+                ("read", "idempotent", False),
+                ("pay", "non_idempotent", False),
+                ("open-read", "idempotent", True),
+                ("open-pay", "non_idempotent", True),
             )
         ]
         workspaces: list[list[object]] = [["mill", self.keys, 0, 0]]
@@ -434,11 +452,71 @@
         answer = await self.exchange(
             instance.ports[0], head, sent.body, ANSWER_SECONDS_MAX
         )
+        self.record_answer(sent, answer)
+        return sent
+
+    def record_answer(self, sent: promises.Sent, answer: Answer) -> None:
+        """Records the answer to a request."""
         sent.status, sent.answer = answer.status, answer.body
         sent.answered_id = answer.fields.get("currantcart-request-id", "")
         if "server-leaving" in answer.fields:
             self.record_told_leave(sent)
-        return sent
+
+    async def call_pipelined(self, rng: random.Random) -> None:
+        """Sends requests one behind the other on one connection.
+
+        The last one is a payment. Half of the connections use routes without
+        keys; some are closed before all answers were received.
+
+        Args:
+          rng: Chooses the node, the requests and how many answers are read.
+        """
+        instance = rng.choice(self.places)
+        prefix, key, workspace = rng.choice(
+            [("", self.keys[-1], "mill"), ("open-", "", "")]
+        )
+        calls: list[promises.Sent] = []
+        data = b""
+        for number in range(count := rng.randint(2, 5)):
+            pay = number == count - 1
+            sent = promises.Sent(
+                f"r{next(self.numbers)}", key, not pay, time.monotonic(),
+                b"fee" if pay else b"", instance=instance.name,
+                workspace=workspace,
+            )  # fmt: skip
+            sent.path = f"/{prefix}{'pay' if pay else 'read'}/1"
+            self.record.sent[sent.request_id] = sent
+            calls.append(sent)
+            key_line = f"Api-Key: {key}\r\n" if key else ""
+            data += (
+                f"{'POST' if pay else 'GET'} {sent.path} HTTP/1.1\r\n"
+                f"Host: {SITE}\r\n"
+                f"Currantcart-Request-Id: {sent.request_id}\r\n"
+                f"Currantcart-Deadline-Ms: 3000\r\n{key_line}"
+                f"Content-Length: {len(sent.body)}\r\n\r\n"
+            ).encode() + sent.body
+        if rng.random() < CLOSED_EARLY_SHARE:
+            del calls[rng.randrange(count) :]
+        with contextlib.suppress(OSError, TimeoutError, EOFError, ValueError):
+            async with asyncio.timeout(ANSWER_SECONDS_MAX):
+                await self.exchange_pipelined(instance, data, calls)
+
+    async def exchange_pipelined(
+        self, instance: Instance, data: bytes, calls: list[promises.Sent]
+    ) -> None:
+        """Sends requests on a new connection, and reads their answers.
+
+        Raises:
+          OSError: The connection was refused or reset.
+          EOFError: It was closed before all answers were received.
+        """
+        reader, writer = await asyncio.open_connection(HOST, instance.ports[0])
+        try:
+            writer.write(data)
+            for sent in calls:
+                self.record_answer(sent, await read_answer(reader))
+        finally:
+            writer.transport.abort()
 
     def record_told_leave(self, sent: promises.Sent) -> None:
         """Records that a node passed on that a target is leaving."""
@@ -458,15 +536,7 @@
                 reader, writer = await asyncio.open_connection(HOST, port)
                 length = f"Content-Length: {len(body)}\r\n\r\n"
                 writer.write((head + length).encode() + body)
-                lines = (await reader.readuntil(b"\r\n\r\n")).decode()
-                fields = dict(
-                    line.lower().split(": ", 1)
-                    for line in lines.splitlines()[1:]
-                    if line
-                )
-                size = int(fields.get("content-length", "0"))
-                body = await reader.readexactly(size)
-                return Answer(int(lines.split(" ", 2)[1]), fields, body)
+                return await read_answer(reader)
         except (OSError, TimeoutError, EOFError, ValueError):
             return Answer()
         finally:
