Start no request behind an answer that has closed its connection

Routing one may answer an earlier one (a request for a token lets others of its workspace be refused), and where that answer closes the connection, those further down were routed all the same. They ran with no caller, and nobody cancelled them.

Test: test_no_request_starts_behind_an_answer_that_closes; before, the third request was routed behind the 503 that closed the connection.

--- a/src/currantcart/proxy/callers/caller.py
+++ b/src/currantcart/proxy/callers/caller.py
@@ -175,7 +175,9 @@
                 break
             exchange.started = True
             self.owner.route(exchange)
-            if exchange.close:
+            # Routing it may have answered an earlier one, and that may have
+            # closed the connection: nobody waits for the others any more.
+            if exchange.close or self.closing:
                 break
         self.apply_backpressure()
 
--- a/tests/proxy/callers/test_callers.py
+++ b/tests/proxy/callers/test_callers.py
@@ -8,6 +8,7 @@
 
 from bench.standins import http_target
 from currantcart.platform import names
+from currantcart.proxy.callers import exchange as exchange_module
 from tests.fakes import mesh as fake_mesh
 
 
@@ -307,6 +308,34 @@
     assert [seen.request_id for seen in place.target.seen] == ["ran"]
 
 
+async def test_no_request_starts_behind_an_answer_that_closes(
+    mesh: fake_mesh.Mesh, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against requests that run although their caller was cut off.
+
+    Starting one request answers the one before it, which closes the connection.
+    """
+    place = await start_place(mesh)
+    callers = place.node.callers
+    routed: list[exchange_module.Exchange] = []
+
+    def route(exchange: exchange_module.Exchange) -> None:
+        routed.append(exchange)
+        if len(routed) == 2:
+            routed[0].close = True
+            routed[0].set_answer(503, b"", b"")
+
+    monkeypatch.setattr(callers, "route", route)
+    caller = await mesh.connect(place)
+    caller.send(
+        b"".join(
+            fake_mesh.request(request_id=f"r{number}") for number in range(3)
+        )
+    )
+    assert (await caller.reply()).status == 503
+    assert [item.head.request_id for item in routed] == ["r0", "r1"]
+
+
 @pytest.mark.parametrize(
     ("start", "status"),
     [
