Keep the account of bodies right after an abort and for slow callers

Tests: test_an_abort_within_an_answer_releases_what_was_read and test_what_a_slow_caller_has_not_read_is_held; both failed before.

--- a/src/currantcart/http1/pool.py
+++ b/src/currantcart/http1/pool.py
@@ -149,7 +149,8 @@
 
     def release_delivered(self) -> None:
         """Releases the bodies of all answers that are complete."""
-        kept = self.size if self.in_message else 0
+        # After an abort nothing is reserved, though an answer is incomplete.
+        kept = min(self.size, self.reserved) if self.in_message else 0
         self.held.release(self.reserved - kept)
         self.reserved = kept
         if not self.in_message:
--- a/src/currantcart/proxy/callers/caller.py
+++ b/src/currantcart/proxy/callers/caller.py
@@ -222,6 +222,7 @@
     def pause_writing(self) -> None:
         """Pauses reading while the caller does not read its answers."""
         self.write_paused = True
+        self.hold_unsent()
         self.apply_backpressure()
 
     def resume_writing(self) -> None:
--- a/tests/http1/test_pool.py
+++ b/tests/http1/test_pool.py
@@ -287,3 +287,20 @@
     client.connection.data_received(COMPLETE[-1:])
     assert client.answers
     assert held.held == 0
+
+
+def test_an_abort_within_an_answer_releases_what_was_read(
+    client: Client,
+) -> None:
+    """Guards against an account that fills up with bodies that are gone."""
+    held = client.connection.reader.held
+
+    def reject(response: pool.Response) -> bool:
+        del response
+        client.connection.abort()
+        return True
+
+    client.connection.on_answer = reject
+    client.connection.data_received(COMPLETE + COMPLETE[:-1])
+    assert client.wire.aborted
+    assert held.held == 0
--- a/tests/proxy/callers/test_callers.py
+++ b/tests/proxy/callers/test_callers.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
+from typing import cast
 
 import pytest
 
@@ -12,6 +14,24 @@
 from tests.fakes import mesh as fake_mesh
 
 
+class UnsentTransport:
+    """A transport whose peer reads nothing."""
+
+    unsent = 1_000_000
+
+    def is_closing(self) -> bool:
+        return False
+
+    def get_write_buffer_size(self) -> int:
+        return self.unsent
+
+    def pause_reading(self) -> None:
+        pass
+
+    def resume_reading(self) -> None:
+        pass
+
+
 async def start_place(mesh: fake_mesh.Mesh) -> fake_mesh.Place:
     place = await mesh.add("a")
     await mesh.settle()
@@ -308,6 +328,26 @@
     assert [seen.request_id for seen in place.target.seen] == ["ran"]
 
 
+async def test_what_a_slow_caller_has_not_read_is_held(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """Guards against answers in write buffers that no limit knows of."""
+    place = await start_place(mesh)
+    held = place.node.context.held
+    caller = await mesh.connect(place)
+    (connection,) = place.node.callers.connections
+    transport = cast(asyncio.Transport, UnsentTransport())
+    connection.transport = transport
+    connection.pause_writing()
+    assert held.held == UnsentTransport.unsent
+    connection.resume_writing()
+    assert held.held == 0
+    connection.pause_writing()
+    connection.connection_lost(None)
+    assert held.held == 0
+    caller.leave()
+
+
 async def test_no_request_starts_behind_an_answer_that_closes(
     mesh: fake_mesh.Mesh, monkeypatch: pytest.MonkeyPatch
 ) -> None:
