--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -10,11 +10,11 @@
 
 from currantcart import background
 from currantcart.admission import connections
-from currantcart.call import quarantine
 from currantcart.fleet import digest, evacuation, target_record
 from currantcart.proxy import context as proxy_context
 from currantcart.proxy import (
     control,
+    gauges,
     quarantine_page,
     shutdown,
     state_log,
@@ -218,7 +218,15 @@
         self.discovered = asyncio.Event()
         self.ticks = 0
         self.published_changes = 0
-        self.add_gauges()
+        gauges.register(
+            context,
+            local_guard=self.guard,
+            router=self.outbound,
+            peers=self.peers,
+            callers=self.callers,
+            state_log=self.state_log,
+            silent_share=self.silent_share,
+        )
 
     def own_service_level(self) -> float:
         """Returns the overload level of the local target's service."""
@@ -296,52 +304,6 @@
         text = exposition.render(self.context.counts)
         return control.ControlResponse(200, text, "text/plain; version=0.0.4")
 
-    def add_gauges(self) -> None:
-        """Registers the gauges that are read when the metrics are rendered."""
-        known, queue = self.context.freshness, self.guard.queue
-        known_ends = self.context.quarantine
-        self.context.counts.gauges = {
-            "config_version": lambda: known.version,
-            "config_age_seconds": lambda: known.age(self.context.now) / 1e3,
-            "domains_evacuated": lambda: len(self.context.evacuations.domains),
-            "peers": lambda: len(self.peers.by_instance),
-            "peers_silent_ratio": self.silent_share,
-            "streams": lambda: (
-                len(self.peers.dialled) + len(self.peers.accepted)
-            ),
-            "relaying": lambda: float(self.peers.relay.is_acting),
-            "calls": lambda: len(self.outbound.calls),
-            "held_bytes": lambda: self.context.held.held,
-            "caller_connections": lambda: len(self.callers.connections),
-            "running": lambda: queue.running,
-            "waiting": lambda: queue.waiting,
-            "slots": lambda: queue.slots,
-            "target_limit": lambda: self.guard.statements.limit,
-            "pressure": lambda: self.guard.overload.gauge.level,
-            "rates_exhausted": lambda: len(self.state_log.over_rate),
-            "budgets_exhausted": lambda: len(self.state_log.spent),
-            "retry_budget_nodes": lambda: (
-                self.outbound.retries.slack_share.nodes
-            ),
-            "retry_budget_nodes_age_seconds": self.outbound.retries.nodes_age,
-            "requests_suspected": lambda: known_ends.count(
-                (
-                    quarantine.Verdict.SUSPECT,
-                    quarantine.Verdict.LAST_TRIAL,
-                ),
-                self.context.now,
-            ),
-            "requests_quarantined": lambda: known_ends.count(
-                (quarantine.Verdict.QUARANTINED,), self.context.now
-            ),
-            "rate_waiting": lambda: self.callers.rate_wait.queue.requests,
-            "log_bytes_dropped": lambda: self.context.log.dropped_bytes,
-        }
-        self.context.counts.service_gauges = {
-            **self.outbound.retries.gauges(),
-            **self.outbound.ingress.gauges(),
-        }
-
     # Start and periodic work.
 
     async def start(self) -> None:
