Replace the test that a draining node without keys accepts all calls

Its purpose stays, that no call of a running request is refused there: calls of the target are accepted, by id and by expiry, and what can be no call is refused, while something runs and while nothing does. That is as strict on calls, and stricter on callers.

--- a/tests/proxy/streams/test_config.py
+++ b/tests/proxy/streams/test_config.py
@@ -179,16 +179,35 @@
     assert statuses[-1] == 429
 
 
-async def test_without_keys_a_draining_node_accepts_all_calls(
+async def test_without_keys_a_draining_node_accepts_calls_of_its_target(
     mesh: fake_mesh.Mesh,
 ) -> None:
+    """Guards against running requests that fail since a call is refused.
+
+    Callers and targets use the same routes; what can be no call is refused.
+    """
     document = fake_mesh.document(5).replace(b'"tenants"', b'"others"')
     mesh.store.operate("op/config", document)
     place = await mesh.add("a")
     await mesh.settle()
     place.node.context.rejecting_callers = True
-    reply = await mesh.ask(place, fake_mesh.request(key=None))
-    assert reply.status == 200
+    assert (await mesh.ask(place, fake_mesh.request(key=None))).status == 503
+    assert not place.target.seen
+    place.node.context.rejecting_callers = False
+    place.target.work_seconds = 3.0
+    parent = await mesh.connect(place)
+    parent.send(fake_mesh.request(request_id="parent", key=None))
+    await mesh.settle(0.1)
+    place.target.work_seconds = 0.01
+    place.node.context.rejecting_callers = True
+    for request_id, deadline in (("parent.1", 4_000), ("other", 2_000)):
+        call = fake_mesh.request(
+            request_id=request_id, deadline=deadline, key=None
+        )
+        assert (await mesh.ask(place, call)).status == 200
+    later = fake_mesh.request(request_id="later", deadline=9_000, key=None)
+    assert (await mesh.ask(place, later)).status == 503
+    assert (await parent.reply()).status == 200
 
 
 async def test_a_change_is_in_force_long_before_the_next_poll(
