--- a/src/currantcart/call/origin.py
+++ b/src/currantcart/call/origin.py
@@ -35,6 +35,8 @@
 ) -> Origin:
     """Returns the origin of a request without a key.
 
+    Times are in milliseconds of the node's clock.
+
     Args:
       expires_at: When the request expires.
       has_parent: Whether its id names a request that the target works on.
--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -497,7 +497,8 @@
         callers errors for requests that targets still run.
         """
         self.outbound.end_all()
-        # Only requests of peers still wait. They get the released slots else.
+        # Only requests of peers still wait; the slots that this has released
+        # would start them.
         self.guard.refuse_waiting("draining")
         await self.callers.end(FLUSH_SECONDS)
 
--- a/src/currantcart/proxy/requests/intake.py
+++ b/src/currantcart/proxy/requests/intake.py
@@ -171,7 +171,8 @@
           closing: Whether only calls of the local target are still accepted:
             a root request accepted late in a shutdown would be cut off after
             its work was done.
-          ends_at: When the node ends all requests.
+          ends_at: When the node ends all requests, in milliseconds of its
+            clock.
           has_token: Whether a token was taken for it before.
 
         Returns:
