--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -486,8 +486,8 @@
             publish=self.peers.publish,
             close_idle=self.callers.close_idle,
         )
-        await self.end_callers()
-        await self.registration.end()
+        # Side by side: the store may be slow, and the grace period ends soon.
+        await asyncio.gather(self.end_callers(), self.registration.end())
         return cut
 
     async def end_callers(self) -> None:
--- a/tests/proxy/test_shutdown.py
+++ b/tests/proxy/test_shutdown.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 
 import pytest
 
 from currantcart.platform import names
+from currantcart.proxy import shutdown
 from tests.fakes import mesh as fake_mesh
 
+STORE_SECONDS = 0.6
+"""Time that a slow store takes for a write."""
+
 
 async def start_place(mesh: fake_mesh.Mesh) -> fake_mesh.Place:
     place = await mesh.add("a")
@@ -139,3 +144,22 @@
     statuses = [(await caller.reply()).status for caller in callers]
     assert statuses == [502, 503, 503]
     assert [seen.request_id for seen in place.target.seen] == ["ran"]
+
+
+async def test_a_slow_caller_leaves_the_store_its_time(
+    mesh: fake_mesh.Mesh, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a kill at the end of the grace period.
+
+    The last answers are flushed while the store, which is slow, is written.
+    """
+    place = await start_place(mesh)
+    monkeypatch.setattr(place.node.callers, "end", lambda s: asyncio.sleep(s))
+    monkeypatch.setattr(
+        place.node.registration, "end", lambda: asyncio.sleep(STORE_SECONDS)
+    )
+    begin = mesh.loop.time()
+    await place.node.drain()
+    ended_after = mesh.loop.time() - begin
+    idle_seconds = shutdown.SERVE_CALLERS_MS / 1e3 + shutdown.TICK_SECONDS
+    assert ended_after <= idle_seconds + STORE_SECONDS
