--- a/tests/proxy/callers/test_callers.py
+++ b/tests/proxy/callers/test_callers.py
@@ -224,10 +224,7 @@
 async def test_no_request_starts_behind_an_answer_that_closes(
     mesh: fake_mesh.Mesh, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """Guards against requests that run although their caller was cut off.
-
-    Starting one request answers the one before it, which closes the connection.
-    """
+    """Guards against requests that run although their caller was cut off."""
     place = await start_place(mesh)
     callers = place.node.callers
     routed: list[exchange_module.Exchange] = []
--- a/tests/proxy/streams/test_config.py
+++ b/tests/proxy/streams/test_config.py
@@ -182,10 +182,7 @@
 async def test_without_keys_a_draining_node_accepts_calls_of_its_target(
     mesh: fake_mesh.Mesh,
 ) -> None:
-    """Guards against running requests that fail since a call is refused.
-
-    Callers and targets use the same routes; what can be no call is refused.
-    """
+    """Guards against running requests that fail since a call is refused."""
     document = fake_mesh.document(5).replace(b'"tenants"', b'"others"')
     mesh.store.operate("op/config", document)
     place = await mesh.add("a")
--- a/tests/proxy/targets/test_guard.py
+++ b/tests/proxy/targets/test_guard.py
@@ -126,12 +126,7 @@
 async def test_a_request_that_a_hand_back_lets_start_is_not_handed_back(
     driver: Driver,
 ) -> None:
-    """Guards against a payment that runs and is answered "not run".
-
-    Two requests are handed back. The caller of the first closes its connection,
-    which carries a running request as well; the slot of that one is free before
-    the second is handed back.
-    """
+    """Guards against a payment that runs and is answered "not run"."""
     driver.place.target.work_seconds = 2.0
     for number in range(SLOTS):
         driver.submit(f"running-{number}")
@@ -250,10 +245,7 @@
 async def test_no_order_of_ends_refuses_what_has_run(
     driver: Driver, seed: int
 ) -> None:
-    """Guards against decisions that the effects of their own replies overtake.
-
-    The ends of requests cancel, submit, refuse and start others.
-    """
+    """Guards against decisions that effects of their own replies overtake."""
     rng = random.Random(seed)
     disorder = Disorder(driver, rng)
     driver.place.target.work_seconds = 0.02
--- a/tests/proxy/test_shutdown.py
+++ b/tests/proxy/test_shutdown.py
@@ -41,10 +41,7 @@
 async def test_late_in_a_shutdown_requests_of_callers_are_rejected(
     mesh: fake_mesh.Mesh,
 ) -> None:
-    """Guards against requests that are cut off when the process ends.
-
-    Callers use their connections until then.
-    """
+    """Guards against requests that are cut off when the process ends."""
     place = await start_place(mesh)
     place.target.work_seconds = 3.5
     running = await mesh.connect(place)
@@ -65,10 +62,7 @@
 async def test_late_in_a_shutdown_callers_without_a_key_are_rejected(
     mesh: fake_mesh.Mesh, key: str | None, *, keyed: bool
 ) -> None:
-    """Guards against callers' requests that are taken for calls of the target.
-
-    They would be accepted until the process ends, and cut off.
-    """
+    """Guards against callers that are taken for the target."""
     document = fake_mesh.document(2, keyed=keyed)
     mesh.store.operate(names.CONFIG_KEY, document)
     peer = await mesh.add("b", domain="b")
@@ -116,11 +110,7 @@
 async def test_at_the_end_of_a_shutdown_requests_are_answered(
     mesh: fake_mesh.Mesh,
 ) -> None:
-    """Guards against connections that are closed without an answer.
-
-    What was handed to the target gets 502, since it may have run; what still
-    waits never does, and gets 503, also at another node.
-    """
+    """Guards against connections that are closed without an answer."""
     place = await mesh.add("a", slots=2)
     peer = await mesh.add("b", service="other")
     await mesh.settle()
@@ -149,10 +139,7 @@
 async def test_a_slow_caller_leaves_the_store_its_time(
     mesh: fake_mesh.Mesh, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """Guards against a kill at the end of the grace period.
-
-    The last answers are flushed while the store, which is slow, is written.
-    """
+    """Guards against a kill at the end of the grace period."""
     place = await start_place(mesh)
     monkeypatch.setattr(place.node.callers, "end", lambda s: asyncio.sleep(s))
     monkeypatch.setattr(
--- a/tests/soak/test_endless_answers.py
+++ b/tests/soak/test_endless_answers.py
@@ -128,10 +128,7 @@
 def test_answers_without_end_cost_only_their_own_requests(
     form: http_target.Endless, tmp_path: pathlib.Path
 ) -> None:
-    """Guards against targets whose answers end the node beside them.
-
-    They take its memory, or its event loop, with all other requests.
-    """
+    """Guards against targets whose answers end the node beside them."""
     with asyncio.Runner(loop_factory=asyncio.SelectorEventLoop) as runner:
         seen = runner.run(play(tmp_path, form))
     assert seen.endless
