--- a/src/currantcart/proxy/streams/peer_clock.py
+++ b/src/currantcart/proxy/streams/peer_clock.py
@@ -42,7 +42,7 @@
 
     @property
     def transit_ms(self) -> float:
-        """Shortest round-trip time that was measured; 0 before the first."""
+        """Shortest round-trip time so far; 0 before the first."""
         if math.isinf(self.round_trip_ms):
             return 0.0
         return self.round_trip_ms - RESOLUTION_MS
