Deploy the parser of settings with comments

Callers and operators saw a node that ended at its start with a traceback, `ModuleNotFoundError: No module named 'json5'`, and no log line, when its settings file was empty, half written or had a comment in it. A reload of such a file raised the same in the signal handler.

Cause: a settings file that is no plain JSON goes to settings/jsonc.py, which imports json5 and pydantic. Both are in the lock file, so the tests find them, but not among the libraries that a node is deployed with.

json5 is now deployed; it needs no other library. It is still imported only for a file that is no plain JSON. The validation with pydantic, which the proxy does not use, is in a module of its own, settings/validation.py.

--- a/bench/node_requirements.py
+++ b/bench/node_requirements.py
@@ -12,7 +12,14 @@
 ROOT = pathlib.Path(__file__).parents[1]
 LOCK = ROOT / "requirements.lock"
 TARGET = ROOT / "deploy" / "requirements.txt"
-WANTED = ("httptools", "msgspec", "prometheus-client", "structlog", "uvloop")
+WANTED = (
+    "httptools",
+    "json5",
+    "msgspec",
+    "prometheus-client",
+    "structlog",
+    "uvloop",
+)
 HEADER = (
     "# Cut out of requirements.lock by `python -m bench.node_requirements`.\n"
 )
--- a/src/currantcart/cli/domains.py
+++ b/src/currantcart/cli/domains.py
@@ -12,8 +12,8 @@
 
 from currantcart.cli import base, fleet, output
 from currantcart.config import changes, edits
-from currantcart.settings import jsonc
 from currantcart.settings import model as settings_model
+from currantcart.settings import validation
 
 NAME_ADAPTER = pydantic.TypeAdapter(settings_model.Name)
 NAME_ARGUMENT = argument("name", "Name of the failure domain.")
@@ -43,7 +43,7 @@
     try:
         NAME_ADAPTER.validate_python(name)
     except pydantic.ValidationError as error:
-        raise base.UsageError(jsonc.describe(error)) from error
+        raise base.UsageError(validation.describe(error)) from error
     change = change_of(name)
     accepted = command.edit(lambda editor: editor.apply(change))
     fleet.show_in_force(command, accepted)
--- a/src/currantcart/cli/workspaces.py
+++ b/src/currantcart/cli/workspaces.py
@@ -12,8 +12,8 @@
 
 from currantcart.cli import base, fleet, output
 from currantcart.config import changes, document
-from currantcart.settings import jsonc
 from currantcart.settings import model as settings_model
+from currantcart.settings import validation
 from currantcart.workspace import model as workspace_model
 
 KEY_ID_BYTES = 4
@@ -49,7 +49,7 @@
             NAME_ADAPTER.validate_python(name)
             workspace = document.WorkspaceText.model_validate(values)
         except pydantic.ValidationError as error:
-            raise base.UsageError(jsonc.describe(error)) from error
+            raise base.UsageError(validation.describe(error)) from error
         accepted = self.edit(
             lambda editor: editor.apply(
                 changes.create_workspace(name, workspace)
@@ -78,7 +78,7 @@
         try:
             accepted = self.edit(lambda editor: editor.apply(change))
         except pydantic.ValidationError as error:
-            raise base.UsageError(jsonc.describe(error)) from error
+            raise base.UsageError(validation.describe(error)) from error
         output.accepted(self, accepted)
         return 0
 
--- a/src/currantcart/config/document.py
+++ b/src/currantcart/config/document.py
@@ -13,8 +13,8 @@
 
 from currantcart import errors
 from currantcart.graph import document as graph_document
-from currantcart.settings import jsonc
 from currantcart.settings import model as settings_model
+from currantcart.settings import validation
 
 STORE_KEY = "currantcart/config"
 DOCUMENT_BYTES_MAX = 1_000_000
@@ -117,4 +117,6 @@
         raise errors.SettingsError(
             "configuration: not a JSON object", code=code
         )
-    return jsonc.validate(Document, values, source="configuration", code=code)
+    return validation.validate(
+        Document, values, source="configuration", code=code
+    )
--- a/src/currantcart/graph/document.py
+++ b/src/currantcart/graph/document.py
@@ -11,7 +11,7 @@
 
 from currantcart import errors
 from currantcart.graph import model
-from currantcart.settings import jsonc
+from currantcart.settings import jsonc, validation
 from currantcart.settings import model as settings_model
 
 TIME_PATTERN = r"^([01]\d|2[0-3]):[0-5]\d$"
@@ -257,7 +257,7 @@
     """
     code = errors.Code.SERVICES_INVALID
     values = jsonc.parse_text(text, source=source, code=code)
-    parsed = jsonc.validate(ServicesText, values, source=source, code=code)
+    parsed = validation.validate(ServicesText, values, source=source, code=code)
     faults = check(parsed)
     if faults:
         raise errors.SettingsError(f"{source}: {'; '.join(faults)}", code=code)
--- a/src/currantcart/settings/model.py
+++ b/src/currantcart/settings/model.py
@@ -10,7 +10,7 @@
 import pydantic
 
 from currantcart import errors
-from currantcart.settings import jsonc
+from currantcart.settings import jsonc, validation
 
 NAME_PATTERN = r"^[a-z0-9][a-z0-9._-]{0,62}$"
 Name = Annotated[str, pydantic.StringConstraints(pattern=NAME_PATTERN)]
@@ -206,4 +206,4 @@
     values = jsonc.parse_text(
         jsonc.read_file(path, code=code), source=str(path), code=code
     )
-    return jsonc.validate(Settings, values, source=str(path), code=code)
+    return validation.validate(Settings, values, source=str(path), code=code)
