Check the addresses, numbers and encoding of a node's settings

Operators saw a node that ended at its start with a traceback other than the error of an invalid file, or one that started on values that it could not use and failed later: UnicodeDecodeError for bytes that are not UTF-8, a ValueError for a port of thousands of digits or of digits beyond ASCII. Ports of 0 and above 65535, host names, addresses of no form in `metrics` and `advertised`, negative, infinite and unbounded times and counts were taken as valid.

Cause: the bytes were decoded outside of any check, an address was split rather than checked, and most numbers had no upper bound; JSON with comments has Infinity and NaN besides.

The settings' types have ranges now, all addresses must be an IP number and a port from 1 to 65535, and each error names the file and the field. The parser of JSON with comments refuses numbers that are not finite, for the other files that it reads as well. Names are refused because a node looks up none: that would need a thread.

--- a/src/currantcart/proxy/settings.py
+++ b/src/currantcart/proxy/settings.py
@@ -2,14 +2,26 @@
 
 from __future__ import annotations
 
+import ipaddress
 import pathlib
-from typing import Annotated
+from typing import Annotated, Any
 
 import msgspec
 
 from currantcart import decoding, errors
 
 MS = 1_000.0
+PORT_MAX = 65_535
+COUNT_MAX = 2**31 - 1
+SECONDS_MAX = 1e9
+AMOUNT_MAX = 1e9
+FOUND_TEXT_MAX = 60
+OPTIONAL_ADDRESSES = {"listen.metrics", "listen.advertised"}
+
+Count = Annotated[int, msgspec.Meta(ge=0, le=COUNT_MAX)]
+Seconds = Annotated[float, msgspec.Meta(ge=0, le=SECONDS_MAX)]
+PositiveSeconds = Annotated[float, msgspec.Meta(gt=0, le=SECONDS_MAX)]
+Amount = Annotated[float, msgspec.Meta(ge=0, le=AMOUNT_MAX)]
 
 
 class Listen(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -50,14 +62,14 @@
       cold_slack: Requests that it may get beyond that.
     """
 
-    revoke_seconds: float = 5.0
-    drain_seconds: float = 2.0
-    grace_seconds: float = 6.0
-    retry_ratio: float = 0.2
-    retry_slack: float = 48.0
-    retry_window_seconds: float = 10.0
-    cold_overshoot: float = 1.5
-    cold_slack: float = 8.0
+    revoke_seconds: Seconds = 5.0
+    drain_seconds: Seconds = 2.0
+    grace_seconds: Seconds = 6.0
+    retry_ratio: Amount = 0.2
+    retry_slack: Amount = 48.0
+    retry_window_seconds: PositiveSeconds = 10.0
+    cold_overshoot: Amount = 1.5
+    cold_slack: Amount = 8.0
 
 
 class Exchange(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -70,8 +82,8 @@
         fleet keeps streams.
     """
 
-    mesh_nodes_max: Annotated[int, msgspec.Meta(ge=0)] = 0
-    targets_per_service: Annotated[int, msgspec.Meta(ge=2)] = 12
+    mesh_nodes_max: Count = 0
+    targets_per_service: Annotated[int, msgspec.Meta(ge=2, le=COUNT_MAX)] = 12
 
 
 class RateQueue(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -84,8 +96,8 @@
     """
 
     enabled: bool = False
-    requests_max: Annotated[int, msgspec.Meta(ge=1)] = 512
-    bytes_max: Annotated[int, msgspec.Meta(ge=0)] = 8 * 1024 * 1024
+    requests_max: Annotated[int, msgspec.Meta(ge=1, le=COUNT_MAX)] = 512
+    bytes_max: Count = 8 * 1024 * 1024
 
 
 class FairShares(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -136,8 +148,8 @@
 
     ends_max: Annotated[int, msgspec.Meta(ge=0, le=8)] = 3
     requests_max: Annotated[int, msgspec.Meta(ge=16, le=4096)] = 256
-    suspect_seconds: Annotated[float, msgspec.Meta(gt=0)] = 120.0
-    quarantine_seconds: Annotated[float, msgspec.Meta(gt=0)] = 600.0
+    suspect_seconds: PositiveSeconds = 120.0
+    quarantine_seconds: PositiveSeconds = 600.0
 
 
 class ProxySettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -173,8 +185,8 @@
     listen: Listen
     store: str
     bounds: Bounds = Bounds()
-    descriptors: Annotated[int, msgspec.Meta(ge=512)] = 4_096
-    memory_mb: Annotated[int, msgspec.Meta(ge=64)] = 300
+    descriptors: Annotated[int, msgspec.Meta(ge=512, le=COUNT_MAX)] = 4_096
+    memory_mb: Annotated[int, msgspec.Meta(ge=64, le=COUNT_MAX)] = 300
     first_start: bool = False
     exchange: Exchange = Exchange()
     rate_queue: RateQueue = RateQueue()
@@ -187,16 +199,24 @@
 def split_address(value: str) -> tuple[str, int]:
     """Splits `IP:PORT` into host and port.
 
+    Names are not accepted: the node looks up none, since that needs a thread.
+
     Raises:
-      errors.SettingsError: The value has no host or no numeric port.
+      errors.SettingsError: The host is no IP number, or the port not one from
+        1 to 65535.
     """
     host, _, port = value.rpartition(":")
-    if not host or not port.isdigit():
+    try:
+        ipaddress.ip_address(host)
+        number = int(port) if port.isascii() and port.isdigit() else 0
+    except ValueError:
+        number = 0
+    if not 0 < number <= PORT_MAX:
         raise errors.SettingsError(
-            f"found {value!r}, allowed: IP:PORT",
+            f"found {value[:FOUND_TEXT_MAX]!r}, allowed: IP:PORT",
             code=errors.Code.SETTINGS_INVALID,
         )
-    return host, int(port)
+    return host, number
 
 
 def load(path: pathlib.Path) -> ProxySettings:
@@ -229,22 +249,47 @@
     try:
         values = msgspec.json.decode(text)
     except decoding.ERRORS:
-        # The JSONC parser is slow to import and rarely needed: files that a
-        # platform renders seldom contain comments.
-        from currantcart.settings import jsonc
-
-        values = jsonc.parse_text(text.decode(), source=source, code=code)
+        values = parse_comments(text, source=source)
     try:
         settings = msgspec.convert(values, ProxySettings)
-    except msgspec.ValidationError as error:
+    except decoding.ERRORS as error:
         raise errors.SettingsError(f"{source}: {error}", code=code) from error
-    for address in (
-        settings.target,
-        settings.store,
-        settings.listen.callers,
-        settings.listen.peers,
-        settings.listen.readiness,
-        settings.listen.reports,
-    ):
-        split_address(address)
+    listen = settings.listen
+    addresses = {
+        "target": settings.target,
+        "store": settings.store,
+        "listen.callers": listen.callers,
+        "listen.peers": listen.peers,
+        "listen.readiness": listen.readiness,
+        "listen.reports": listen.reports,
+        "listen.metrics": listen.metrics,
+        "listen.advertised": listen.advertised,
+    }
+    for name, address in addresses.items():
+        if name in OPTIONAL_ADDRESSES and not address:
+            continue
+        try:
+            split_address(address)
+        except errors.SettingsError as error:
+            raise errors.SettingsError(
+                f"{source}: {name}: {error.detail}", code=code
+            ) from error
     return settings
+
+
+def parse_comments(text: bytes, *, source: str) -> dict[str, Any]:
+    """Parses JSON with comments.
+
+    Raises:
+      errors.SettingsError: The text is invalid.
+    """
+    # The parser is slow to import and rarely needed: files that a platform
+    # renders seldom contain comments.
+    from currantcart.settings import jsonc
+
+    code = errors.Code.SETTINGS_INVALID
+    try:
+        decoded = text.decode()
+    except UnicodeDecodeError as error:
+        raise errors.SettingsError(f"{source}: {error}", code=code) from error
+    return jsonc.parse_text(decoded, source=source, code=code)
--- a/src/currantcart/settings/jsonc.py
+++ b/src/currantcart/settings/jsonc.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import pathlib
 from collections.abc import Iterable
 from typing import Any
@@ -30,6 +31,18 @@
     return built
 
 
+def finite_number(text: str) -> float:
+    """Returns the value of a number.
+
+    Raises:
+      ValueError: The value is infinite or not a number.
+    """
+    value = float(text)
+    if not math.isfinite(value):
+        raise ValueError(f"found {text}, allowed: a finite number")
+    return value
+
+
 def parse_text(text: str, *, source: str, code: errors.Code) -> dict[str, Any]:
     """Parses a JSON object with comments.
 
@@ -45,7 +58,12 @@
       errors.SettingsError: The text is not a JSON object.
     """
     try:
-        parsed = json5.loads(text, object_pairs_hook=reject_duplicate_names)
+        parsed = json5.loads(
+            text,
+            object_pairs_hook=reject_duplicate_names,
+            parse_float=finite_number,
+            parse_constant=finite_number,
+        )
     except (ValueError, RecursionError) as error:
         message = str(error).replace("<string>:", "line ")
         raise errors.SettingsError(f"{source}: {message}", code=code) from error
