Reports: refuse values that the node cannot keep, send or dial

Seen: a heartbeat with an integer beyond 64 bits in slots or born ended the task that answers it with OverflowError, so that it got no answer, and each status that was due later failed in the same way. Heartbeats with -5 slots, a warm-up of 1e308 s and the port were taken as valid, and so were ids with a percent-encoded CR LF, although ids are written into a header of each request to the target.

Cause: reports were checked for their types alone. Integers in JSON are not bounded, those in frames are (64 bits). The start of an incarnation orders all later reports: after one far in the future, no report of the target itself is accepted again.

Change: `bounds` holds the ranges and forms of values that others write; the types of reports use them. One value out of range makes that report invalid: 400, `report_unreadable`, and the last valid one stays. A warm-up that is over (negative) counts as zero; 0 slots remain valid; zone and version may be missing, but not of another type.

--- /dev/null
+++ b/src/currantcart/bounds.py
@@ -0,0 +1,56 @@
+"""Ranges and forms of values that others write.
+
+The types apply when a message is decoded, before its values become state.
+Values within these bounds can be compared, added, converted to milliseconds,
+encoded for peers and the store, and written into a header.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+from typing import Annotated
+
+from msgspec import Meta
+
+INT64_MAX = 2**63 - 1
+COUNT_MAX = 2**53 - 1
+"""Largest count; a float holds it exactly."""
+SLOTS_MAX = 1_000_000
+UNIX_MS_MAX = 4_102_444_800_000
+"""Start of the year 2100, in milliseconds since 1970."""
+SECONDS_MAX = 1e9
+NAME_CHARACTERS_MAX = 200
+PORT_MAX = 65_535
+
+Ordinal = Annotated[int, Meta(ge=0, le=INT64_MAX)]
+"""Version, revision, lease or sequence number."""
+Count = Annotated[int, Meta(ge=0, le=COUNT_MAX)]
+Slots = Annotated[int, Meta(ge=0, le=SLOTS_MAX)]
+"""Requests that a target runs concurrently."""
+UnixMs = Annotated[int, Meta(ge=0, le=UNIX_MS_MAX)]
+"""Wall-clock time in milliseconds since 1970; 0 if unknown."""
+Seconds = Annotated[float, Meta(ge=0.0, le=SECONDS_MAX)]
+RemainingSeconds = Annotated[float, Meta(ge=-SECONDS_MAX, le=SECONDS_MAX)]
+"""Time until an event; negative after it."""
+Name = Annotated[str, Meta(max_length=NAME_CHARACTERS_MAX)]
+Identifier = Annotated[
+    str,
+    Meta(
+        min_length=1,
+        max_length=NAME_CHARACTERS_MAX,
+        pattern=r"\A[\x21-\x7e]+\Z",
+    ),
+]
+"""Id that is sent as the value of a header."""
+
+
+def is_address(text: str) -> bool:
+    """Returns whether a text is IP:PORT, to be dialled without a look-up."""
+    host, _, port = text.rpartition(":")
+    if not (port.isascii() and port.isdecimal()):
+        return False
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return len(port) <= len(str(PORT_MAX)) and 1 <= int(port) <= PORT_MAX
--- a/src/currantcart/platform/reports.py
+++ b/src/currantcart/platform/reports.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from currantcart import decoding, errors
+from currantcart import bounds, decoding, errors
 from currantcart.fleet import target_record
 from currantcart.platform import names
 
@@ -17,19 +17,21 @@
 class Heartbeat(msgspec.Struct, rename="kebab"):
     """Body of a heartbeat message."""
 
-    service: str
-    address: str
-    slots: int
+    service: bounds.Name
+    address: bounds.Name
+    slots: bounds.Slots
     state: str
-    sequence: int
-    cold_remaining_s: float = 0.0
-    born: int = 0
+    sequence: bounds.Ordinal
+    zone: bounds.Name = ""
+    version: bounds.Name = ""
+    cold_remaining_s: bounds.RemainingSeconds = 0.0
+    born: bounds.UnixMs = 0
 
 
 class Leave(msgspec.Struct):
     """Body of a leave message; may be empty."""
 
-    born: int = 0
+    born: bounds.UnixMs = 0
 
 
 def invalid(detail: str) -> errors.CurrantcartError:
@@ -54,10 +56,11 @@
     except ValueError as error:
         raise invalid(f"not a path: {path[:80]}") from error
     query = urllib.parse.parse_qs(parts.query)
-    call, target_id = query.get("call", [""])[0], query.get("of", [""])[0]
-    if parts.path != names.REPORT_PATH or not target_id:
+    call = query.get("call", [""])[0]
+    if parts.path != names.REPORT_PATH:
         raise invalid(f"not a target report: {path[:80]}")
     try:
+        target_id = msgspec.convert(query.get("of", [""])[0], bounds.Identifier)
         if call == names.HEARTBEAT_CALL:
             return heartbeat_report(
                 target_id, msgspec.json.decode(body, type=Heartbeat)
@@ -85,8 +88,11 @@
     """Converts a heartbeat message to a report.
 
     Raises:
-      errors.CurrantcartError: The state is unknown.
+      errors.CurrantcartError: The state is unknown, or the address is not
+        IP:PORT.
     """
+    if not bounds.is_address(heartbeat.address):
+        raise invalid(f"not an address: {heartbeat.address[:40]!r}")
     ready = STATES.get(heartbeat.state)
     if ready is None:
         raise invalid(f"unknown target state {heartbeat.state[:40]!r}")
@@ -100,5 +106,5 @@
         phase=phase,
         service=heartbeat.service,
         slots=heartbeat.slots,
-        cold_ms=heartbeat.cold_remaining_s * MS,
+        cold_ms=max(0.0, heartbeat.cold_remaining_s) * MS,
     )
