Log errors that no code has handled, without waiting for a reader

Seen: with entries of another writer in the store, each node printed 300 and more lines of traceback to standard error. Where nobody reads that output, the process stops for good in a write.

Cause: the event loop's default handler, destructors, warnings and libraries print to standard error, without a bound, and standard error is blocking.

Evidence: a process with a node's setup whose error output is a full pipe was given 200 failing callbacks. It was still blocked after 10 s.

Fix: `telemetry.loop_errors` reports all of these as `unhandled_error`, one line a second for each type and place, through the decision log, which drops what is not read. They are counted by type.

--- a/src/currantcart/proxy/serve.py
+++ b/src/currantcart/proxy/serve.py
@@ -21,7 +21,7 @@
 from currantcart.proxy import header_names, node
 from currantcart.proxy import settings as proxy_settings
 from currantcart.proxy.streams import config_feed
-from currantcart.telemetry import decisions
+from currantcart.telemetry import decisions, loop_errors
 
 SETTINGS_SECONDS = 1.0
 GC_YOUNG, GC_MIDDLE, GC_OLD = 20_000, 20, 50
@@ -61,6 +61,10 @@
             loop=loop,
         ),
     )
+    reporter = loop_errors.ErrorReporter(
+        log=context.log, recorded=context.counts, now=clock.now
+    )
+    loop_errors.install(loop, reporter)
     store = platform_store.KeyValueStore(
         proxy_settings.split_address(settings.store),
         clock=clock,
--- a/src/currantcart/telemetry/definitions.py
+++ b/src/currantcart/telemetry/definitions.py
@@ -66,6 +66,7 @@
         "Requests shed because their workspace was above its share",
         ["service"],
     ),
+    "unhandled_errors": ("Errors that no code has handled, by type", ["kind"]),
     "links_lost": ("Streams to peers that were lost", ["reason"]),
     "digests": (
         "Digests of relays: received, or streams that they were sent on",
