Let a part of a tick fail alone

Seen: `background_failed` again and again after an odd heartbeat (`OverflowError: can't serialize ints`), and what that task did was no longer done.

Cause: a tick ran its parts one after the other in one task.

Fix: each part runs through `isolation.run`, which has the event loop report the error (`unhandled_error`, bounded) and goes on.

--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -8,7 +8,7 @@
 import math
 from collections.abc import Callable
 
-from currantcart import background
+from currantcart import background, isolation
 from currantcart.admission import connections
 from currantcart.fleet import digest, evacuation, target_record
 from currantcart.proxy import context as proxy_context
@@ -370,8 +370,30 @@
             await asyncio.sleep(TICK_SECONDS)
 
     def tick(self) -> None:
-        """Updates and publishes the node's state; every few ticks sweeps."""
+        """Updates and publishes the node's state; every few ticks sweeps.
+
+        A part that fails doesn't keep the others from running: quotas must be
+        counted also while a stream to a peer can't be served.
+        """
         self.ticks += 1
+        loop = self.context.loop
+        isolation.run(loop, self.publish_changes)
+        isolation.run(loop, self.outbound.refresh_local_target)
+        expedited = self.quotas.expedited()
+        isolation.run(loop, self.peers.tick, expedited)
+        isolation.run(loop, self.feed.tick)
+        isolation.run(loop, self.outbound.retries.record_fleet_size)
+        now = self.context.now
+        isolation.run(loop, self.quotas.tick, now)
+        isolation.run(loop, self.update_quotas, now, pressing=bool(expedited))
+        if self.ticks % SWEEP_TICKS == 0:
+            isolation.run(loop, self.sweep_callers)
+            isolation.run(loop, self.state_log.log_changes, now)
+            isolation.run(loop, self.context.quarantine.expire, now)
+            isolation.run(loop, self.guard.exchange.pool.sweep, now)
+
+    def publish_changes(self) -> None:
+        """Publishes the status if peers are to be told of a change now."""
         is_overload_changed = self.guard.update_overload()
         is_evidence_due = self.statuses.evidence.is_due(
             relaying=self.peers.relay.is_acting
@@ -382,24 +404,15 @@
             or self.is_change_unpublished()
         ):
             self.peers.publish()
-        self.outbound.refresh_local_target()
-        expedited = self.quotas.expedited()
-        self.peers.tick(expedited)
-        self.feed.tick()
-        self.outbound.retries.record_fleet_size()
-        now = self.context.now
-        self.quotas.tick(now)
-        self.update_quotas(now, pressing=bool(expedited))
-        if self.ticks % SWEEP_TICKS == 0:
-            self.callers.bound.limit = connections.caller_limit(
-                descriptors=self.context.settings.descriptors,
-                peers=len(self.peers.by_instance),
-                slots=self.guard.slot_count,
-            )
-            self.callers.sweep()
-            self.state_log.log_changes(now)
-            self.context.quarantine.expire(now)
-            self.guard.exchange.pool.sweep(now)
+
+    def sweep_callers(self) -> None:
+        """Closes connections of callers that are above the limit, or idle."""
+        self.callers.bound.limit = connections.caller_limit(
+            descriptors=self.context.settings.descriptors,
+            peers=len(self.peers.by_instance),
+            slots=self.guard.slot_count,
+        )
+        self.callers.sweep()
 
     def is_change_unpublished(self) -> bool:
         """Returns whether all peers are to be told of a change now.
--- a/tests/proxy/test_node.py
+++ b/tests/proxy/test_node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 
 import pytest
@@ -258,3 +259,28 @@
     assert known.started_at == pytest.approx(
         second.node.context.started_at, abs=50.0
     )
+
+
+async def test_failing_part_of_a_tick_leaves_the_others_running(
+    mesh: fake_mesh.Mesh, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against quotas and sweeps that stop with the streams' part."""
+    place = await mesh.add("a")
+    await mesh.settle()
+    mesh.loop.set_exception_handler(lambda loop, details: None)
+
+    def fail(*args: object) -> None:
+        raise OverflowError("can't serialize ints")
+
+    ran: list[str] = []
+    node = place.node
+    monkeypatch.setattr(node.peers, "tick", fail)
+    monkeypatch.setattr(node.quotas, "tick", lambda now: ran.append("quotas"))
+    monkeypatch.setattr(node.callers, "sweep", lambda: ran.append("callers"))
+    monkeypatch.setattr(
+        node.state_log, "log_changes", lambda now: ran.append("log")
+    )
+    await asyncio.sleep(2.0)
+    assert ran.count("quotas") >= 30
+    assert ran.count("callers") >= 3
+    assert ran.count("log") >= 3
