Name background work that fails again and again, and restart it less often

Seen: after an odd heartbeat `background_failed` came twice a second for as long as the process ran. The line did not name the work, no metric told that any was failing, and nothing slowed its restarts.

`background_failures_total` counts by name, `background_failing` tells how much work failed in the last 10 s. The ticks no longer end with an error of theirs: they run every 50 ms whatever failed in the last one.

--- a/src/currantcart/node/app.py
+++ b/src/currantcart/node/app.py
@@ -250,9 +250,14 @@
             **listen.model_dump(),
         )
 
-    def background_failed(self, error: Exception) -> None:
-        """Logs a background task that failed, with its traceback."""
-        self.context.logger.error("background task failed", exc_info=error)
+    def background_failed(self, failure: background.Failure) -> None:
+        """Logs background work that failed, with its traceback."""
+        self.context.logger.error(
+            "background task failed",
+            work=failure.work,
+            in_a_row=failure.in_a_row,
+            exc_info=failure.error,
+        )
 
     def request_stop(self) -> None:
         """Starts a graceful shutdown; a second request ends it at once."""
--- a/src/currantcart/proxy/gauges.py
+++ b/src/currantcart/proxy/gauges.py
@@ -22,6 +22,7 @@
     callers: frontend.CallerServer,
     state_log: state_log_module.StateLog,
     silent_share: Callable[[], float],
+    failing_work: Callable[[], int],
 ) -> None:
     """Registers the gauges of a node.
 
@@ -33,6 +34,7 @@
       callers: Connections of callers.
       state_log: Log of state changes.
       silent_share: Returns the share of the fleet that is silent, 0 to 1.
+      failing_work: Returns how much background work has failed recently.
     """
     known, queue = context.freshness, local_guard.queue
     known_ends = context.quarantine
@@ -67,6 +69,7 @@
             (quarantine.Verdict.QUARANTINED,), context.now
         ),
         "rate_waiting": lambda: callers.rate_wait.queue.requests,
+        "background_failing": failing_work,
         "log_bytes_dropped": lambda: context.log.dropped_bytes,
     }
     context.counts.service_gauges = {
--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -34,6 +34,7 @@
 )
 from currantcart.proxy.targets import guard, inbound, target_reports
 from currantcart.store import counted, leased
+from currantcart.telemetry import loop_errors
 from currantcart.workspace import quota
 
 TICK_SECONDS = 0.05
@@ -226,6 +227,7 @@
             callers=self.callers,
             state_log=self.state_log,
             silent_share=self.silent_share,
+            failing_work=self.background.failing,
         )
 
     def own_service_level(self) -> float:
@@ -366,7 +368,7 @@
     async def run_ticks(self) -> None:
         """Runs the periodic work every `TICK_SECONDS`."""
         while True:
-            self.tick()
+            isolation.run(self.context.loop, self.tick)
             await asyncio.sleep(TICK_SECONDS)
 
     def tick(self) -> None:
@@ -473,9 +475,17 @@
             or settings.target != before.target,
         )
 
-    def background_failed(self, error: Exception) -> None:
-        """Logs the failure of a background task."""
-        self.context.log.event("background_failed", error=repr(error)[:200])
+    def background_failed(self, failure: background.Failure) -> None:
+        """Counts and logs the failure of background work."""
+        self.context.counts.add("background_failures", failure.work)
+        self.context.log.event(
+            "background_failed",
+            work=failure.work,
+            in_a_row=failure.in_a_row,
+            restart_ms=round(failure.restart_seconds * 1_000),
+            error=loop_errors.shorten(repr(failure.error)),
+            place=loop_errors.own_place(failure.error),
+        )
 
     # Shutdown.
 
--- a/src/currantcart/proxy/serve.py
+++ b/src/currantcart/proxy/serve.py
@@ -94,7 +94,10 @@
         running.context.log.event("start_failed", detail=str(error))
         running.context.log.flush()
         return 1
-    running.background.keep(functools.partial(watch_settings, running, path))
+    running.background.keep(
+        functools.partial(watch_settings, running, path),
+        name=watch_settings.__qualname__,
+    )
     gc.collect()
     gc.freeze()
     gc.set_threshold(GC_YOUNG, GC_MIDDLE, GC_OLD)
--- a/src/currantcart/telemetry/definitions.py
+++ b/src/currantcart/telemetry/definitions.py
@@ -67,6 +67,7 @@
         ["service"],
     ),
     "unhandled_errors": ("Errors that no code has handled, by type", ["kind"]),
+    "background_failures": ("Failures of background work, by name", ["work"]),
     "links_lost": ("Streams to peers that were lost", ["reason"]),
     "digests": (
         "Digests of relays: received, or streams that they were sent on",
@@ -128,6 +129,7 @@
     "budgets_exhausted": "Services whose repeats are used up",
     "retry_budget_nodes": "Nodes that the retry budgets assume",
     "retry_budget_nodes_age_seconds": "Time since that number changed last",
+    "background_failing": "Background work that failed in the last 10 s",
     "log_bytes_dropped": "Bytes of log lines that nobody took",
 }
 SERVICE_GAUGES = {
--- a/tests/proxy/test_state_log.py
+++ b/tests/proxy/test_state_log.py
@@ -77,3 +77,21 @@
     (line,) = logged(mesh, "caller_left")
     assert "id=left" in line
     assert "had_it=a" in line
+
+
+async def test_background_failure_names_the_work(mesh: fake_mesh.Mesh) -> None:
+    """Guards against work that fails each time and goes unnoticed."""
+    place = await mesh.add("a")
+    await mesh.settle()
+
+    async def refresh() -> None:
+        raise OverflowError("can't serialize ints")
+
+    place.node.background.keep(refresh, name="refresh")
+    await mesh.settle(1.0)
+    first, second = logged(mesh, "background_failed")
+    assert "work=refresh in_a_row=1 restart_ms=500" in first
+    assert "work=refresh in_a_row=2 restart_ms=1000" in second
+    text = exposition.render(place.node.context.counts).decode()
+    assert 'currantcart_background_failures_total{work="refresh"} 2.0' in text
+    assert "currantcart_background_failing 1.0" in text
