Answer a probe or report whose handling fails with 500

Seen: reading the code for tasks that can end unnoticed. A report or a probe whose handler raises got no answer, its connection stayed open, and the error was printed only once the connection had ended.

Cause: the handler runs in a task whose exception nobody retrieves.

Fix: the error is reported to the event loop at once and the request is answered with 500; requests after it on the connection are served.

Measured: test_request_whose_handler_fails_is_answered failed before (no answer within 5 s) and passes now.

--- a/src/currantcart/proxy/control.py
+++ b/src/currantcart/proxy/control.py
@@ -12,6 +12,7 @@
 
 import httptools
 
+from currantcart import isolation
 from currantcart.http1 import status
 from currantcart.http1 import transport as stream
 
@@ -131,7 +132,7 @@
         """
         if previous is not None:
             await asyncio.wait([previous])
-        response = await self.handler(request)
+        response = await self.handle(request)
         stream.write(
             self.transport,
             status.STATUS_LINES[response.status]
@@ -143,3 +144,12 @@
         )
         if not keep_alive and self.transport is not None:
             self.transport.close()
+
+    async def handle(self, request: ControlRequest) -> ControlResponse:
+        """Returns the handler's response; 500 if the handler fails."""
+        try:
+            return await self.handler(request)
+        except Exception as error:
+            path = request.path.partition("?")[0]
+            isolation.report(self.loop, error, f"{request.method} {path}")
+            return ControlResponse(500)
