Report each failed dial of a target to its request

Seen: reading the code for tasks that can end unnoticed. `Pool.dial` promises that exactly one callback is called, but errors other than `OSError` and a time-out, such as an address that can't be encoded for a look-up, ended the task with neither. The request kept its slot until its deadline, and the probe of a target that was down was never made again.

Fix: any error of the connection attempt calls `on_failed`.

Measured: test_dial_that_fails_with_any_error_is_reported failed before (no callback) and passes now.

--- a/src/currantcart/http1/pool.py
+++ b/src/currantcart/http1/pool.py
@@ -385,6 +385,10 @@
             on_failed(TIMED_OUT)
         except OSError as error:
             on_failed(str(error) or type(error).__name__)
+        except Exception as error:
+            # Such as an address that can't be resolved: the request of the
+            # callback would keep its slot for ever.
+            on_failed(f"{type(error).__name__}: {error}")
         else:
             on_open(connection)
 
--- a/tests/http1/test_pool.py
+++ b/tests/http1/test_pool.py
@@ -304,3 +304,22 @@
     client.connection.data_received(COMPLETE + COMPLETE[:-1])
     assert client.wire.aborted
     assert held.held == 0
+
+
+async def test_dial_that_fails_with_any_error_is_reported(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a request that keeps its slot after an odd address."""
+    loop = asyncio.get_running_loop()
+    made = pool.Pool(address=("x" * 70, 9000), loop=loop, held=account())
+
+    async def fail(*args: object) -> None:
+        raise UnicodeError("label too long")
+
+    monkeypatch.setattr(loop, "create_connection", fail)
+    opened: list[pool.Connection] = []
+    reasons: list[str] = []
+    made.dial(opened.append, reasons.append)
+    await asyncio.sleep(0.1)
+    assert not opened
+    assert reasons == ["UnicodeError: label too long"]
