Fail an answer without length whose connection is reset

Callers of the product's own interface got a complete 200 with part of a body: a target answered an upload at once with a 200 without length, sent part of the body and reset the connection. aiohttp ends a body that is delimited by the connection's end whatever ended the connection, and the loop that relays a body would also have missed an error that came while nobody waited for bytes.

Now the connection's protocol fails such a body if the connection is lost with an error, or if the target ends its side before it was sent the complete request: a reset may hide behind such an end. `TargetAnswer.is_read` raises that error, so the node resets the call, and the caller's connection is aborted. An orderly end after the complete request still completes the body.

--- a/src/currantcart/http1/client.py
+++ b/src/currantcart/http1/client.py
@@ -13,6 +13,8 @@
 from currantcart import errors
 
 CONNECT_SECONDS_MAX = 3.0
+FINAL_STATUS_MIN = 200
+"""Lowest status of an answer that is not an interim one (1xx)."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -22,18 +24,97 @@
     message: http_parser.RawResponseMessage
     body: streams.StreamReader
 
+    def is_read(self) -> bool:
+        """Returns whether the complete body was read.
+
+        Raises:
+          aiohttp.ClientError: The rest of the body will not arrive.
+        """
+        error = self.body.exception()
+        if error is not None:
+            raise error
+        return self.body.at_eof()
+
+
+class TargetProtocol(client_proto.ResponseHandler):
+    """Client protocol of aiohttp, for targets that may be faulty.
+
+    aiohttp takes a body without length as complete however the connection
+    ends.
+
+    Attributes:
+      body: Body of the current answer; None before its head.
+      request_sent: Whether the complete request was handed to the transport.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self.body: streams.StreamReader | None = None
+        self.request_sent = False
+
+    def begin(self) -> None:
+        """Prepares for the answer to another request."""
+        self.body = None
+        self.request_sent = False
+
+    @property
+    def body_incomplete(self) -> bool:
+        """Whether more of the current answer's body is due."""
+        return self.body is not None and not self.body.is_eof()
+
+    def feed_data(
+        self,
+        data: tuple[http_parser.RawResponseMessage, streams.StreamReader],
+        size: int = 0,
+    ) -> None:
+        """Queues an answer.
+
+        Args:
+          data: Head and body of an answer.
+          size: Not used by aiohttp.
+        """
+        message, body = data
+        if message.code >= FINAL_STATUS_MIN:
+            self.body = body
+        super().feed_data(data, size)
+
+    def eof_received(self) -> None:
+        """Fails an answer that a target ended before it had the request.
+
+        A target that stops to read resets the connection, and its answer may
+        be a part.
+        """
+        transport = self.transport
+        sent = self.request_sent and (
+            transport is None or transport.get_write_buffer_size() == 0
+        )
+        if not sent:
+            self.fail_body("closed before the request was sent")
+        super().eof_received()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Fails a body that a lost connection has cut."""
+        if exc is not None:
+            self.fail_body(str(exc) or type(exc).__name__)
+        super().connection_lost(exc)
+
+    def fail_body(self, reason: str) -> None:
+        """Fails the current answer's body unless it is complete."""
+        if self.body is not None and self.body_incomplete:
+            self.body.set_exception(aiohttp.ClientPayloadError(reason))
+
 
 class TargetConnection:
     """Connection to the target, used by one call at a time.
 
     Attributes:
-      protocol: Client protocol of aiohttp.
+      protocol: Protocol of the connection.
       writer: Writer of the current request.
     """
 
     def __init__(
         self,
-        protocol: client_proto.ResponseHandler,
+        protocol: TargetProtocol,
         loop: asyncio.AbstractEventLoop,
     ) -> None:
         self.protocol = protocol
@@ -55,6 +136,7 @@
         last: bool,
     ) -> None:
         """Sends the head of a request and the first bytes of its body."""
+        self.protocol.begin()
         self.protocol.set_response_params(
             skip_payload=method == "HEAD",
             read_until_eof=True,
@@ -70,10 +152,8 @@
             self.writer.enable_chunking()
             headers["Transfer-Encoding"] = "chunked"
         await self.writer.write_headers(f"{method} {path} HTTP/1.1", headers)
-        if last:
-            await self.writer.write_eof(chunk)
-        elif chunk:
-            await self.writer.write(chunk)
+        if chunk or last:
+            await self.send(chunk, last=last)
         else:
             self.writer.send_headers()
 
@@ -81,6 +161,7 @@
         """Sends a part of the body; waits while the target reads slowly."""
         if last:
             await self.writer.write_eof(chunk)
+            self.protocol.request_sent = True
         else:
             await self.writer.write(chunk)
 
@@ -88,7 +169,7 @@
         """Waits for the final answer's head; discards interim answers (1xx)."""
         while True:
             message, body = await self.protocol.read()
-            if message.code >= 200:
+            if message.code >= FINAL_STATUS_MIN:
                 return TargetAnswer(message, body)
 
     def abort(self) -> None:
@@ -158,7 +239,7 @@
         try:
             async with asyncio.timeout(CONNECT_SECONDS_MAX):
                 _, protocol = await self.loop.create_connection(
-                    lambda: client_proto.ResponseHandler(self.loop),
+                    lambda: TargetProtocol(self.loop),
                     self.host,
                     self.port,
                 )
--- a/src/currantcart/node/dispatch.py
+++ b/src/currantcart/node/dispatch.py
@@ -210,9 +210,9 @@
             stream.close()
             return
         await stream.send(chunk[messages.CHUNK_BYTES_MAX :], last=False)
-        while not body.at_eof():
+        while not answer.is_read():
             chunk = await body.readany()
-            await stream.send(chunk, last=body.at_eof())
+            await stream.send(chunk, last=answer.is_read())
         if not stream.sent_last:
             await stream.send(b"", last=True)
         stream.close()
--- a/tests/fakes/loop.py
+++ b/tests/fakes/loop.py
@@ -168,6 +168,20 @@
                 LATENCY_SECONDS, peer.hear_end, context=peer.context
             )
 
+    def reset(self) -> None:
+        """Resets the connection; the other end sees an error."""
+        self.lost = self.closing = True
+        self.protocol.connection_lost(None)
+        if self.peer is not None:
+            self.loop.call_later(
+                LATENCY_SECONDS, self.peer.hear_reset, context=self.peer.context
+            )
+
+    def hear_reset(self) -> None:
+        if not self.lost:
+            self.lost = self.closing = True
+            self.protocol.connection_lost(ConnectionResetError("reset"))
+
     def hear_end(self) -> None:
         if (self.inbox or self.on_way) and not self.lost:
             self.loop.call_later(LATENCY_SECONDS, self.hear_end)
