Take a status that HTTP does not have for a failure of the target

At the product's own interface an answer with status 000, 099 or 101 was taken for an interim one: its caller waited until the deadline and the target's slot with it. One with 600 to 999 was passed on to the caller. aiohttp accepts any three digits.

The connection's protocol now checks the status as it takes a parsed head: one that is not valid fails the request at once and aborts the connection, so the caller gets 502, target_failed. Interim answers are discarded there too, and no longer queued one by one for the request.

Tests, failed before: test_client.py, test_a_status_that_is_not_one_of_http_fails_the_request (000, 099, 101, 600, 999; 20, 2000, +200 and 0x200 were refused by the parser already); test_dispatch.py, test_a_status_that_is_not_one_of_http_is_a_failure_of_the_target (000, 099, 101, 999, at the target's node and from another).

--- a/src/currantcart/http1/client.py
+++ b/src/currantcart/http1/client.py
@@ -11,10 +11,12 @@
 from multidict import CIMultiDict
 
 from currantcart import errors
+from currantcart.http1 import status
 
 CONNECT_SECONDS_MAX = 3.0
 FINAL_STATUS_MIN = 200
 """Lowest status of an answer that is not an interim one (1xx)."""
+SWITCHING_PROTOCOLS = 101
 
 
 @dataclasses.dataclass(slots=True)
@@ -40,7 +42,7 @@
     """Client protocol of aiohttp, for targets that may be faulty.
 
     aiohttp takes a body without length as complete however the connection
-    ends.
+    ends, and accepts any status of three digits.
 
     Attributes:
       body: Body of the current answer; None before its head.
@@ -67,15 +69,22 @@
         data: tuple[http_parser.RawResponseMessage, streams.StreamReader],
         size: int = 0,
     ) -> None:
-        """Queues an answer.
+        """Queues the final answer; discards interim ones (1xx).
 
         Args:
           data: Head and body of an answer.
           size: Not used by aiohttp.
         """
         message, body = data
-        if message.code >= FINAL_STATUS_MIN:
-            self.body = body
+        valid = status.is_valid(message.code)
+        if valid and message.code < FINAL_STATUS_MIN:
+            if message.code != SWITCHING_PROTOCOLS:
+                return
+            valid = False
+        self.body = body
+        if not valid:
+            self.fail(f"invalid status {message.code:03}")
+            return
         super().feed_data(data, size)
 
     def eof_received(self) -> None:
@@ -98,11 +107,23 @@
             self.fail_body(str(exc) or type(exc).__name__)
         super().connection_lost(exc)
 
+    def fail(self, reason: str) -> None:
+        """Fails the current answer and aborts the connection."""
+        self.fail_body(reason)
+        self.set_exception(aiohttp.ClientError(reason))
+        self.drop()
+
     def fail_body(self, reason: str) -> None:
         """Fails the current answer's body unless it is complete."""
         if self.body is not None and self.body_incomplete:
             self.body.set_exception(aiohttp.ClientPayloadError(reason))
 
+    def drop(self) -> None:
+        """Aborts the connection; an answer that is complete stays readable."""
+        self.force_close()
+        if self.transport is not None:
+            self.transport.abort()
+
 
 class TargetConnection:
     """Connection to the target, used by one call at a time.
@@ -166,11 +187,9 @@
             await self.writer.write(chunk)
 
     async def answer(self) -> TargetAnswer:
-        """Waits for the final answer's head; discards interim answers (1xx)."""
-        while True:
-            message, body = await self.protocol.read()
-            if message.code >= FINAL_STATUS_MIN:
-                return TargetAnswer(message, body)
+        """Waits for the final answer's head."""
+        message, body = await self.protocol.read()
+        return TargetAnswer(message, body)
 
     def abort(self) -> None:
         """Aborts the connection."""
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -101,6 +101,22 @@
     )
 
 
+@pytest.mark.parametrize(
+    "status",
+    ["000", "099", "101", "600", "999", "20", "2000", "+200", "0x200"],
+)
+async def test_a_status_that_is_not_one_of_http_fails_the_request(
+    status: str,
+) -> None:
+    """Guards against callers that get an answer no target can have meant."""
+    target = await connect()
+    target.send(f"HTTP/1.1 {status} X\r\nContent-Length: 2\r\n\r\nok".encode())
+    with pytest.raises(client.TRANSPORT_ERRORS):
+        await target.body()
+    assert target.wire.closed
+    assert not target.connection.usable
+
+
 async def test_interim_answers_are_discarded() -> None:
     target = await connect()
     target.send(b"HTTP/1.1 100 Continue\r\n\r\n" * 3 + COMPLETE)
--- a/tests/node/test_dispatch.py
+++ b/tests/node/test_dispatch.py
@@ -56,6 +56,20 @@
     return place
 
 
+@pytest.mark.parametrize("via", ["grades-1", "permits-1"])
+@pytest.mark.parametrize("status", ["000", "099", "101", "999"])
+async def test_a_status_that_is_not_one_of_http_is_a_failure_of_the_target(
+    world: World, status: str, via: str
+) -> None:
+    """Guards against a caller that gets such a status, or none in time."""
+    answer = f"HTTP/1.1 {status} X\r\nContent-Length: 2\r\n\r\nok"
+    await start_faulty(world, answer.encode())
+    reply = await world.call(via, "/grades/a", method="POST", body=b"x")
+    assert reply.status == 502
+    assert reply.code == "target_failed"
+    assert reply.seconds < 1.0
+
+
 @pytest.mark.parametrize("via", ["grades-1", "permits-1"])
 async def test_an_answer_that_is_reset_during_the_upload_is_not_complete(
     world: World, via: str
