Limit what a target may send that belongs to no body

Extensions of a chunk and its size's digits cost no memory, but were read until the deadline.

The protocol counts head, interim answers and framing with the limit that the connections of the platform path have, and aborts a connection that receives bytes when no answer is due. A part of a head on an idle connection left it in the pool, so that its rest would have met the next request.

Tests, failed before: test_client.py, test_bytes_without_end_that_are_no_body_end_the_connection (interim answers, chunk extension, chunk size, answers), test_bytes_on_an_idle_connection_end_it. Passed before as well: the other forms of the first, and test_a_body_in_the_smallest_chunks_is_whole, which guards against a limit that counts what the parser has not parsed yet.

--- a/src/currantcart/http1/client.py
+++ b/src/currantcart/http1/client.py
@@ -11,7 +11,7 @@
 from multidict import CIMultiDict
 
 from currantcart import errors
-from currantcart.http1 import status
+from currantcart.http1 import framing_limit, status
 
 CONNECT_SECONDS_MAX = 3.0
 FINAL_STATUS_MIN = 200
@@ -42,28 +42,59 @@
     """Client protocol of aiohttp, for targets that may be faulty.
 
     aiohttp takes a body without length as complete however the connection
-    ends, and accepts any status of three digits.
+    ends, accepts any status of three digits, and queues answers that nobody
+    asked for without a limit.
 
     Attributes:
+      due: Whether a final answer is due.
       body: Body of the current answer; None before its head.
       request_sent: Whether the complete request was handed to the transport.
+      framing: Limit on the bytes for one request that belong to no body.
+        Interim answers count as well.
+      uncounted: Bytes received that `framing` has not counted yet.
+      counted_body: Bytes of the body that it has counted.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
+        self.due = False
         self.body: streams.StreamReader | None = None
         self.request_sent = False
+        self.framing = framing_limit.FramingLimit()
+        self.uncounted = 0
+        self.counted_body = 0
 
     def begin(self) -> None:
         """Prepares for the answer to another request."""
+        self.due = True
         self.body = None
         self.request_sent = False
+        self.framing.reset()
+        self.uncounted = self.counted_body = 0
 
     @property
     def body_incomplete(self) -> bool:
         """Whether more of the current answer's body is due."""
         return self.body is not None and not self.body.is_eof()
 
+    def data_received(self, data: bytes) -> None:
+        """Parses received bytes; unsolicited bytes abort the connection."""
+        if data and not self.due and not self.body_incomplete:
+            # Unsolicited bytes: later answers could not be matched.
+            self.drop()
+            return
+        super().data_received(data)
+        self.uncounted += len(data)
+        if self._reading_paused:
+            # The parser has not parsed all of it.
+            return
+        if self.body is not None:
+            self.framing.add_body(self.body.total_bytes - self.counted_body)
+            self.counted_body = self.body.total_bytes
+        size, self.uncounted = self.uncounted, 0
+        if self.framing.is_exceeded_by(size):
+            self.fail(f"over {self.framing.limit} bytes of head or framing")
+
     def feed_data(
         self,
         data: tuple[http_parser.RawResponseMessage, streams.StreamReader],
@@ -76,11 +107,15 @@
           size: Not used by aiohttp.
         """
         message, body = data
+        if not self.due:
+            self.drop()
+            return
         valid = status.is_valid(message.code)
         if valid and message.code < FINAL_STATUS_MIN:
             if message.code != SWITCHING_PROTOCOLS:
                 return
             valid = False
+        self.due = False
         self.body = body
         if not valid:
             self.fail(f"invalid status {message.code:03}")
@@ -109,6 +144,7 @@
 
     def fail(self, reason: str) -> None:
         """Fails the current answer and aborts the connection."""
+        self.due = False
         self.fail_body(reason)
         self.set_exception(aiohttp.ClientError(reason))
         self.drop()
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -13,6 +13,10 @@
 
 COMPLETE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 NO_LENGTH = b"HTTP/1.1 200 OK\r\n\r\n"
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+PIECE_BYTES = 16 * 1024
+ENDLESS_BYTES_MAX = 256 * 1024
+"""Bytes after which a connection whose answer never ends must be aborted."""
 
 
 @dataclasses.dataclass
@@ -182,6 +186,63 @@
     assert not target.connection.usable
 
 
+@pytest.mark.parametrize(
+    ("start", "more"),
+    [
+        (b"HTTP/1.1 200 ", b"O" * PIECE_BYTES),
+        (b"HTTP/1.1 200 OK\r\nX-Line: ", b"x" * PIECE_BYTES),
+        (b"HTTP/1.1 200 OK\r\n", b"X-Line: 1\r\n" * 1_000),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 600),
+        (CHUNKED + b"2;", b"x" * PIECE_BYTES),
+        (CHUNKED, b"0" * PIECE_BYTES),
+        (CHUNKED + b"2\r\nok\r\n0\r\nX-Trailer: ", b"x" * PIECE_BYTES),
+        (COMPLETE, COMPLETE * 400),
+        (b"", b"no answer"),
+    ],
+    ids=[
+        "reason", "header line", "header lines", "interim answers",
+        "chunk extension", "chunk size", "trailer", "answers", "no HTTP",
+    ],
+)  # fmt: skip
+async def test_bytes_without_end_that_are_no_body_end_the_connection(
+    start: bytes, more: bytes
+) -> None:
+    """Guards against a target whose answers fill the memory of its node."""
+    target = await connect(sent=False)
+    target.send(start)
+    received = 0
+    while not target.wire.closed and received < ENDLESS_BYTES_MAX:
+        target.send(more)
+        received += len(more)
+    assert target.wire.closed
+    assert len(target.connection.protocol) <= 1
+
+
+async def test_a_body_in_the_smallest_chunks_is_whole() -> None:
+    """Guards against a limit on framing that ends proper answers."""
+    count = 100_000
+    target = await connect()
+    rest = CHUNKED + b"1\r\nx\r\n" * count + b"0\r\n\r\n"
+    reading = asyncio.ensure_future(target.body())
+    while rest:
+        if target.wire.reading:
+            target.send(rest[:ENDLESS_BYTES_MAX])
+            rest = rest[ENDLESS_BYTES_MAX:]
+        await asyncio.sleep(0)
+    assert len(await reading) == count
+    assert target.connection.usable
+
+
+async def test_bytes_on_an_idle_connection_end_it() -> None:
+    """Guards against an answer that the next request would get."""
+    target = await connect()
+    target.send(COMPLETE)
+    assert await target.body() == b"ok"
+    assert target.connection.usable
+    target.send(COMPLETE[:12])
+    assert not target.connection.usable
+
+
 async def test_a_connection_serves_one_request_after_another() -> None:
     target = await connect()
     for _ in range(3):
