Deploy: ignore SIGHUP sooner after a process starts

Seen: a SIGHUP shortly after the start of a process ends it with signal 1 and no log line. The first statement of the start file ignores SIGHUP, but the interpreter took long to get there, the longer the more processes start together.

Cause: the interpreter imports `site` before the first statement, and `signal` imports `enum` and more before SIGHUP can be ignored.

A program that embeds the interpreter could ignore the signal sooner, but needs a compiler and headers on every machine.

test_a_signal_during_the_start_does_not_end_the_process compared the order of two texts. test_the_start_file_ignores_the_reload_signal_first replaces it: it parses the file, allows nothing but the built-in module before the call, and requires `-S`; it fails on the code before ("'-S' in []"). test_a_node_lives_through_reload_signals_while_it_starts is new and guards the time from the first line on; it passes before and after.

--- a/deploy/node.py
+++ b/deploy/node.py
@@ -1,13 +1,12 @@
 """Starts a node from the repository, without installing the package."""
 
-from __future__ import annotations
-
-import signal
+import _signal
 
 # SIGHUP requests a reload of the settings, and may arrive during start-up, when
 # its default action would end the process. It is ignored until a handler is
-# installed: the settings are read after this line anyway.
-signal.signal(signal.SIGHUP, signal.SIG_IGN)
+# installed: the settings are read after this line anyway. `signal` itself takes
+# as long to import as the interpreter to start.
+_signal.signal(_signal.SIGHUP, _signal.SIG_IGN)
 
 import os  # noqa: E402
 import pathlib  # noqa: E402
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -2,14 +2,22 @@
 
 from __future__ import annotations
 
+import ast
+import contextlib
 import json
 import os
 import pathlib
 import re
+import signal
 import socket
 import subprocess
 import sys
+import sysconfig
+import time
 import tomllib
+from collections.abc import Callable, Iterator
+from concurrent import futures
+from typing import Any
 
 import pytest
 
@@ -20,6 +28,124 @@
 SECTION = re.compile(r"\{\{#([\w.-]+)\}\}(.*?)\{\{/\1\}\}", re.DOTALL)
 """Part that is rendered if the platform has a value, with its placeholder."""
 TEXT = re.compile(r"\{\{[^}]*\|json\}\}")
+WAIT_SECONDS_MAX = 60.0
+HANG_UP_SECONDS = 0.002
+"""Time between two SIGHUPs."""
+
+
+def run_command() -> list[str]:
+    """Returns the words of the command that starts a node."""
+    deploy = tomllib.loads((DEPLOY / "system.toml").read_text())
+    words: list[str] = deploy["roles"]["node"]["run"].split(" ")
+    return words
+
+
+def free_addresses(count: int) -> list[str]:
+    """Returns addresses on loopback that are free now."""
+    with contextlib.ExitStack() as stack:
+        held = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for item in held:
+            item.bind(("127.0.0.1", 0))
+        return [f"127.0.0.1:{item.getsockname()[1]}" for item in held]
+
+
+def settings_text(**listen: str) -> str:
+    """Returns settings of a node with free ports, unless they are given."""
+    callers, peers, readiness, reports, target, store = free_addresses(6)
+    return json.dumps(
+        {
+            "instance": "n1",
+            "failure_domain": "a",
+            "region": "r",
+            "service": "grades",
+            "target": target,
+            "listen": {
+                "callers": callers,
+                "peers": peers,
+                "readiness": readiness,
+                "reports": reports,
+                **listen,
+            },
+            "store": store,
+        }
+    )
+
+
+def write_settings(folder: pathlib.Path, **listen: str) -> pathlib.Path:
+    """Writes settings of a node into a folder and returns their path."""
+    path = folder / "settings.json"
+    path.write_text(settings_text(**listen))
+    return path
+
+
+@contextlib.contextmanager
+def started(
+    settings: pathlib.Path, **options: Any
+) -> Iterator[subprocess.Popen[str]]:
+    """Starts a node with the command of the deploy file; kills it at the end.
+
+    Args:
+      settings: Settings file; need not exist.
+      options: Further arguments of `subprocess.Popen`.
+    """
+    streams: dict[str, Any] = {
+        "stdout": subprocess.PIPE,
+        "stderr": subprocess.STDOUT,
+    }
+    environment = {
+        "PATH": os.environ["PATH"],
+        "PYTHONPATH": sysconfig.get_path("purelib"),
+        "CURRANTCART_BOOT": str(settings),
+    }
+    process = subprocess.Popen(
+        [sys.executable, *run_command()[1:]],
+        cwd=DEPLOY.parent,
+        stdin=subprocess.DEVNULL,
+        env=environment,
+        text=True,
+        **streams | options,
+    )
+    try:
+        yield process
+    finally:
+        process.kill()
+        process.communicate()
+
+
+def wait_for(condition: Callable[[], bool]) -> None:
+    """Waits until a condition holds."""
+    end = time.monotonic() + WAIT_SECONDS_MAX
+    while not condition():
+        assert time.monotonic() < end
+        time.sleep(0.001)
+
+
+def ignores_reload(pid: int) -> bool:
+    """Returns whether a process ignores or handles SIGHUP."""
+    status = pathlib.Path(f"/proc/{pid}/status").read_text()
+    masks = re.findall(r"^Sig(?:Ign|Cgt):\s*(\w+)$", status, re.MULTILINE)
+    return any(int(mask, 16) & 1 << signal.SIGHUP - 1 for mask in masks)
+
+
+def read_until(process: subprocess.Popen[str], text: str) -> list[str]:
+    """Reads lines of a process up to one with a text, or to the end."""
+    assert process.stdout is not None
+    lines = []
+    for line in process.stdout:
+        lines.append(line)
+        if text in line:
+            return lines
+    raise AssertionError(f"{text!r} is missing in {lines}")
+
+
+def hang_up_until(process: subprocess.Popen[str], text: str) -> list[str]:
+    """Sends SIGHUPs until a process has written a line with a text."""
+    with futures.ThreadPoolExecutor(1) as executor:
+        reading = executor.submit(read_until, process, text)
+        while not reading.done():
+            process.send_signal(signal.SIGHUP)
+            time.sleep(HANG_UP_SECONDS)
+        return reading.result()
 
 
 def test_requirements_of_a_node_are_taken_from_the_lock_file() -> None:
@@ -67,15 +193,35 @@
     assert settings.first_start == has_optional
 
 
-def test_a_signal_during_the_start_does_not_end_the_process() -> None:
-    """The platform sends SIGHUP when the settings change.
+def test_the_start_file_ignores_the_reload_signal_first() -> None:
+    """SIGHUP ends a process that starts, until it is ignored.
 
-    Its default action would end a process that is still starting, so the start
-    file ignores it before the other imports.
+    Nothing may run before that but the built-in module that it needs, and the
+    interpreter must not import its `site` module, which takes longer than the
+    rest of its start.
     """
-    first = (DEPLOY / "node.py").read_text().partition("sys.path")[0]
-    ignored = first.index("signal.signal(signal.SIGHUP, signal.SIG_IGN)")
-    assert ignored < first.index("import os")
+    words = run_command()
+    assert words[0] == "python3"
+    assert "-S" in words[1:-1]
+    body = ast.parse((DEPLOY.parent / words[-1]).read_text()).body
+    assert isinstance(body[0], ast.Expr)
+    assert isinstance(body[0].value, ast.Constant)
+    assert [ast.unparse(statement) for statement in body[1:3]] == [
+        "import _signal",
+        "_signal.signal(_signal.SIGHUP, _signal.SIG_IGN)",
+    ]
+    assert "_signal" in sys.builtin_module_names
+
+
+def test_a_node_lives_through_reload_signals_while_it_starts(
+    tmp_path: pathlib.Path,
+) -> None:
+    """SIGHUP at any time from the first line to the start ends no process."""
+    with started(write_settings(tmp_path)) as process:
+        wait_for(lambda: ignores_reload(process.pid))
+        lines = hang_up_until(process, "event=started")
+        lines += hang_up_until(process, "event=settings_read")
+        assert process.poll() is None, lines
 
 
 def test_the_deploy_file_names_existing_files() -> None:
@@ -83,7 +229,7 @@
     role = deploy["roles"]["node"]
     root = DEPLOY.parent
     assert (root / role["template"]).is_file()
-    assert (root / role["run"].split(" ")[1]).is_file()
+    assert (root / role["run"].split(" ")[-1]).is_file()
     assert role["serves"] == ["sidecar"]
 
 
