Set up the virtual environment anew on another kind of machine

Developers saw `make` run programs of a .venv that was filled on another kind of machine or by another Python: its stamp depended on the lock file alone. Seen with the Makefile before, in a scratch folder whose .venv had a stamp and a program for another processor: `make types` took it as it was and ended with 127.

The stamp's name now has the interpreter's version, binary interface and machine. An environment without that stamp is removed and set up anew, so that packages installed for another machine, or by a set-up that broke off, don't remain. The lint target checks deploy/ too.

--- a/Makefile
+++ b/Makefile
@@ -3,11 +3,14 @@
 PYTHON ?= python3.11
 VENV := .venv
 BIN := $(VENV)/bin
-STAMP := $(VENV)/.stamp
+# Compiled packages fit one interpreter and one kind of machine.
+ABI := $(shell $(PYTHON) -c 'import sysconfig; print(sysconfig.get_config_var("SOABI"))')
+STAMP := $(VENV)/.stamp-$(ABI)
 
 .PHONY: demo test prove lint types check binary lock clean
 
 $(STAMP): requirements.lock pyproject.toml
+	[ -e $(STAMP) ] || rm -rf $(VENV)
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install --quiet --require-hashes -r requirements.lock
 	$(BIN)/python -m pip install --quiet --no-deps --no-build-isolation -e .
@@ -20,8 +23,8 @@
 	$(BIN)/python -m pytest
 
 lint: $(STAMP)
-	$(BIN)/ruff format --check src tests bench
-	$(BIN)/ruff check src tests bench
+	$(BIN)/ruff format --check deploy src tests bench
+	$(BIN)/ruff check deploy src tests bench
 	$(BIN)/lint-imports
 
 types: $(STAMP)
