Answer a request whose handling raises an error

Seen: reading the code for callbacks that can end unnoticed. An error in the checks or the routing of a request ended the callback that handled it.

Fix: errors are caught for each request where it is handled, and reported to the event loop. The request ends with `internal_error`: 503 if nothing of it can have run, else 502. Log lines of an end can't keep the end from being told.

--- a/src/currantcart/proxy/callers/frontend.py
+++ b/src/currantcart/proxy/callers/frontend.py
@@ -6,6 +6,7 @@
 import contextlib
 import itertools
 
+from currantcart import isolation
 from currantcart.admission import connections as connection_bounds
 from currantcart.catalog import model as catalog_model
 from currantcart.http1 import status
@@ -53,6 +54,7 @@
             check=self.check_granted,
             begin=self.begin,
             reject=self.reject,
+            on_error=self.fail,
         )
         self.use_settings()
 
@@ -106,6 +108,35 @@
 
     def route(self, exchange: exchange_module.Exchange) -> None:
         """Checks a complete request, and routes or rejects it."""
+        try:
+            self.check_and_route(exchange)
+        except Exception as error:
+            self.fail(exchange, error)
+
+    def fail(
+        self, exchange: exchange_module.Exchange, error: Exception
+    ) -> None:
+        """Rejects a request whose checks have raised an error.
+
+        Neither the request nor those after it on the connection would be
+        answered otherwise.
+        """
+        isolation.report(self.context.loop, error, "request")
+        if exchange.answer is not None or exchange.call is not None:
+            return
+        rejection = intake.INTERNAL_ERROR
+        self.context.counts.add("rejections", rejection.code)
+        head, body = intake.local_answer(
+            rejection.code, retry_after_ms=rejection.retry_after_ms
+        )
+        exchange.set_answer(rejection.status, head, body)
+
+    def check_and_route(self, exchange: exchange_module.Exchange) -> None:
+        """Checks a complete request; routes, holds or rejects it.
+
+        Args:
+          exchange: The request.
+        """
         checked: intake.Request | intake.Rejection | intake.TokenNeeded
         if exchange.rejection is not None:
             checked = exchange.rejection
--- a/src/currantcart/proxy/callers/rate_wait.py
+++ b/src/currantcart/proxy/callers/rate_wait.py
@@ -38,6 +38,7 @@
         ],
         begin: Callable[[exchange_module.Exchange, intake.Request], None],
         reject: Callable[[exchange_module.Exchange, intake.Rejection], None],
+        on_error: Callable[[exchange_module.Exchange, Exception], None],
     ) -> None:
         """Initializes it.
 
@@ -47,12 +48,14 @@
           check: Checks a request that has a token again.
           begin: Routes a request that has a token.
           reject: Answers a request that is not routed.
+          on_error: Answers a request whose handling has raised an error.
         """
         self.context = context
         self.quotas = quotas
         self.check = check
         self.begin = begin
         self.reject = reject
+        self.on_error = on_error
         bounds = context.settings.rate_queue
         self.queue = rate_queue.RateQueue(
             quotas,
@@ -182,26 +185,33 @@
     def sweep(self) -> None:
         """Grants and refuses the requests whose wait ends now."""
         for outcome in self.queue.advance(self.context.now):
-            waiter = outcome.waiter
-            exchange = self.exchanges.get(waiter)
-            granted = outcome.decision is rate_queue.Decision.GRANTED
+            exchange = self.exchanges.get(outcome.waiter)
             if exchange is None:
                 # The answer to another one has closed its connection.
-                if granted:
-                    self.quotas.give_back(waiter.workspace)
+                if outcome.decision is rate_queue.Decision.GRANTED:
+                    self.quotas.give_back(outcome.waiter.workspace)
                 continue
-            self.remove(exchange, waiter)
-            decision = "granted" if granted else "expired"
-            waited_ms = self.context.now - waiter.queued_at
-            self.context.counts.observe(
-                "rate_wait_seconds", waited_ms, decision
-            )
-            if granted:
-                self.grant(exchange, outcome)
-            else:
-                self.refuse(exchange, outcome, decision=decision)
+            try:
+                self.end_wait(exchange, outcome)
+            except Exception as error:
+                self.on_error(exchange, error)
         self.schedule()
 
+    def end_wait(
+        self, exchange: exchange_module.Exchange, outcome: rate_queue.Outcome
+    ) -> None:
+        """Grants or refuses a request whose wait has ended."""
+        waiter = outcome.waiter
+        granted = outcome.decision is rate_queue.Decision.GRANTED
+        self.remove(exchange, waiter)
+        decision = "granted" if granted else "expired"
+        waited_ms = self.context.now - waiter.queued_at
+        self.context.counts.observe("rate_wait_seconds", waited_ms, decision)
+        if granted:
+            self.grant(exchange, outcome)
+        else:
+            self.refuse(exchange, outcome, decision=decision)
+
     def schedule(self) -> None:
         """Sets the timer for the next sweep."""
         if self.timer is not None:
--- a/src/currantcart/proxy/requests/attempts.py
+++ b/src/currantcart/proxy/requests/attempts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from currantcart import isolation
 from currantcart.call import attempt
 from currantcart.proxy import context as proxy_context
 from currantcart.proxy.requests import call as call_module
@@ -208,4 +209,9 @@
         calls, peer_link.calls = peer_link.calls, {}
         for call in calls.values():
             if isinstance(call, call_module.Call) and call.link is peer_link:
-                self.handler.lost(call, suspects.PEER_LOST)
+                isolation.run(
+                    self.context.loop,
+                    self.handler.lost,
+                    call,
+                    suspects.PEER_LOST,
+                )
--- a/src/currantcart/proxy/requests/intake.py
+++ b/src/currantcart/proxy/requests/intake.py
@@ -118,6 +118,7 @@
 
 
 NOT_READY = Rejection(503, "not_ready", NOT_READY_RETRY_MS)
+INTERNAL_ERROR = Rejection(503, "internal_error", NOT_READY_RETRY_MS)
 
 
 class Intake:
--- a/src/currantcart/proxy/requests/outbound.py
+++ b/src/currantcart/proxy/requests/outbound.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 
+from currantcart import isolation
 from currantcart.admission import pressure, retry_after, slots
 from currantcart.call import attempt, fingerprint, lineage
 from currantcart.http1 import status as status_module
@@ -74,7 +75,9 @@
         self.attempts = attempts.Attempts(
             context, local_guard=local_guard, handler=self
         )
-        self.pending = pending.PendingRequests(context, dispatch=self.dispatch)
+        self.pending = pending.PendingRequests(
+            context, dispatch=self.dispatch, on_error=self.fail
+        )
         self.retries = retries_module.Retries(
             context, node_count=self.node_count
         )
@@ -110,12 +113,21 @@
             request, service, answer, now, request.head_received_at + left
         )
         self.calls.add(call)
+        try:
+            self.admit(call)
+        except Exception as error:
+            self.fail(call, error)
+        return None if call.done else call
+
+    def admit(self, call: call_module.Call) -> None:
+        """Dispatches a new request, or ends it without an attempt."""
+        now, request = self.context.now, call.request
         if call.expires_at - now < guard.LATE_MS:
             self.finish(call, 504, "deadline_exceeded")
-            return None
+            return
         call.fingerprint = fingerprint.of(
             workspace=request.workspace,
-            route=route.name,
+            route=request.route.name,
             method=request.method,
             path=request.path,
             body=request.body,
@@ -123,20 +135,19 @@
         self.set_lineage(call)
         if suspects.is_quarantined(self.context, call):
             self.refuse_quarantined(call)
-            return None
+            return
         if request.internal:
-            self.ingress.record_called(service)
+            self.ingress.record_called(call.service)
         elif by := self.ingress.shed_by(call):
             self.reject(call, f"shed_for_{by}")
-            return None
+            return
         if not self.retries.admit(call):
             self.reject(call, "retry_budget_exhausted")
-            return None
+            return
         call.timer = self.context.loop.call_later(
             (call.expires_at - now) / 1_000, self.expire, call
         )
         self.dispatch(call)
-        return None if call.done else call
 
     def set_lineage(self, call: call_module.Call) -> None:
         """Sets what a request inherits from the root of its call chain."""
@@ -353,6 +364,19 @@
         else:
             self.finish(call, 502, call.last_code)
 
+    def fail(self, call: call_module.Call, error: Exception) -> None:
+        """Ends a request whose handling has raised an error.
+
+        Its caller would wait until its own deadline otherwise, and a shutdown
+        for the request.
+        """
+        isolation.report(self.context.loop, error, "request")
+        if call.done:
+            return
+        isolation.run(self.context.loop, self.attempts.cancel, call)
+        call.last_code = intake.INTERNAL_ERROR.code
+        self.end_unanswered(call, idempotent=False)
+
     def end_all(self) -> None:
         """Ends all requests in progress, as the node ends.
 
@@ -362,7 +386,7 @@
         for call in list(self.calls):
             # The answer to another one may have closed its connection.
             if not call.done:
-                self.attempts.cancel(call)
+                isolation.run(self.context.loop, self.attempts.cancel, call)
                 call.last_code = "draining"
                 self.end_unanswered(call, idempotent=False)
 
@@ -382,9 +406,12 @@
     def expire(self, call: call_module.Call) -> None:
         """Ends a request whose deadline has passed."""
         if not call.done:
+            loop = self.context.loop
             if call.target is not None:
-                self.placement.record_end(call, answered=False)
-            self.attempts.cancel(call)
+                isolation.run(
+                    loop, self.placement.record_end, call, answered=False
+                )
+            isolation.run(loop, self.attempts.cancel, call)
             self.finish(call, 504, "deadline_exceeded")
 
     def finish(self, call: call_module.Call, status: int, code: str) -> None:
@@ -395,7 +422,7 @@
         """
         completion.count_end(self.context, call, code)
         self.remove(call)
-        self.log_end(call, code, status)
+        isolation.run(self.context.loop, self.log_end, call, code, status)
         not_run = all(
             item is attempt.Outcome.NOT_EXECUTED for item in call.outcomes
         )
--- a/src/currantcart/proxy/requests/pending.py
+++ b/src/currantcart/proxy/requests/pending.py
@@ -29,9 +29,11 @@
         context: proxy_context.Context,
         *,
         dispatch: Callable[[call_module.Call], None],
+        on_error: Callable[[call_module.Call, Exception], None],
     ) -> None:
         self.context = context
         self.dispatch = dispatch
+        self.on_error = on_error
         self.pending: list[call_module.Call] = []
         self.timer: asyncio.TimerHandle | None = None
 
@@ -54,5 +56,9 @@
         self.timer = None
         pending, self.pending = self.pending, []
         for call in pending:
-            if not call.done:
+            if call.done:
+                continue
+            try:
                 self.dispatch(call)
+            except Exception as error:
+                self.on_error(call, error)
--- a/tests/proxy/callers/test_callers.py
+++ b/tests/proxy/callers/test_callers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import cast
+from typing import Any, cast
 
 import pytest
 
@@ -343,3 +343,72 @@
     assert [caller.ended for caller in idle[:4]] == [True] * 3 + [False]
     assert len(place.node.callers.connections) == limit
     assert (await busy.reply()).status == 200
+
+
+async def test_request_whose_checks_fail_is_answered(
+    mesh: fake_mesh.Mesh, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a connection that waits for ever after an error."""
+    place = await start_place(mesh)
+    mesh.loop.set_exception_handler(lambda loop, details: None)
+    checks = place.node.callers.intake
+    check = checks.check
+
+    def fail_once(*args: Any, **kwargs: Any) -> Any:
+        monkeypatch.setattr(checks, "check", check)
+        raise ValueError("odd value")
+
+    monkeypatch.setattr(checks, "check", fail_once)
+    caller = await mesh.connect(place)
+    caller.send(fake_mesh.request() + fake_mesh.request(request_id="r2"))
+    async with asyncio.timeout(20.0):
+        first, second = await caller.reply(1), await caller.reply(2)
+    assert (first.status, first.body) == (503, b"internal_error\n")
+    assert second.status == 200
+    assert [item.path for item in place.target.seen] == ["/read/1"]
+
+
+@pytest.mark.parametrize("part", ["set_lineage", "dispatch"])
+async def test_request_whose_routing_fails_is_answered(
+    mesh: fake_mesh.Mesh,
+    monkeypatch: pytest.MonkeyPatch,
+    part: str,
+) -> None:
+    """Guards against a request that a shutdown waits for after an error."""
+    place = await start_place(mesh)
+    mesh.loop.set_exception_handler(lambda loop, details: None)
+
+    def fail(*args: object) -> None:
+        raise ValueError("odd value")
+
+    monkeypatch.setattr(place.node.outbound, part, fail)
+    caller = await mesh.connect(place)
+    caller.send(fake_mesh.request("/pay/1", method="POST"))
+    async with asyncio.timeout(20.0):
+        assert (await caller.reply()).status == 503
+    assert not place.node.outbound.calls
+
+
+async def test_request_that_fails_after_it_was_sent_has_unknown_outcome(
+    mesh: fake_mesh.Mesh, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a second run of a request that may have run."""
+    place = await start_place(mesh)
+    # Opens the connection to the target that the next request is sent on.
+    assert (await mesh.ask(place, fake_mesh.request())).status == 200
+    mesh.loop.set_exception_handler(lambda loop, details: None)
+    hand_to_local = place.node.outbound.attempts.hand_to_local
+
+    def hand_over_and_fail(*args: Any) -> None:
+        hand_to_local(*args)
+        raise ValueError("odd value")
+
+    monkeypatch.setattr(
+        place.node.outbound.attempts, "hand_to_local", hand_over_and_fail
+    )
+    caller = await mesh.connect(place)
+    caller.send(fake_mesh.request("/pay/1", method="POST"))
+    async with asyncio.timeout(20.0):
+        reply = await caller.reply()
+    assert reply.status == 502
+    assert not place.node.outbound.calls
--- a/tests/proxy/callers/test_rate_wait.py
+++ b/tests/proxy/callers/test_rate_wait.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
+from typing import Any
+
 import msgspec
 import pytest
 
@@ -375,3 +378,31 @@
     assert (await mesh.ask(place, fake_mesh.request())).status == 200
     assert not place.node.callers.rate_wait.queue.lines
     assert not place.node.callers.rate_wait.times.by_route
+
+
+async def test_granted_request_whose_check_fails_is_answered(
+    mesh: fake_mesh.Mesh, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a request that waits for ever after an error."""
+    place = await start_place(mesh)
+    mesh.loop.set_exception_handler(lambda loop, details: None)
+    rate_wait = place.node.callers.rate_wait
+    check = rate_wait.check
+
+    def fail_once(*args: Any) -> Any:
+        monkeypatch.setattr(rate_wait, "check", check)
+        raise ValueError("odd value")
+
+    monkeypatch.setattr(rate_wait, "check", fail_once)
+    first = await wait_for_token(mesh, place)
+    async with asyncio.timeout(20.0):
+        assert (await first.reply()).status == 503
+    second = await wait_for_token(
+        mesh, place, fake_mesh.request(request_id="waits-too")
+    )
+    async with asyncio.timeout(20.0):
+        assert (await second.reply()).status == 200
+    first.leave()
+    second.leave()
+    await mesh.settle(0.1)
+    assert_no_trace(place)
