Proxy: keep the exit status through signals during the shutdown

Seen: a SIGHUP or a second SIGTERM between the last answer of a node and the exit of its process ends it with -1 or -15; whoever supervises it takes the planned stop for a crash.

Cause: the event loop restores the default actions of signals with handlers of its own as it closes, and the interpreter finalizes after that.

Fix: plain signal handlers that schedule their work on the loop; the loop leaves those alone. As `serve` returns or raises, the signals are ignored, without a moment of the default action between. Blocking them in the main thread was tried and is not enough: the loop's resolver threads (four, seen in /proc) have masks of their own, and the test still ended with -15.

Test: test_signals_during_the_shutdown_keep_the_exit_status sends SIGTERM and SIGHUP until the process is gone.

--- a/src/currantcart/proxy/serve.py
+++ b/src/currantcart/proxy/serve.py
@@ -10,6 +10,8 @@
 import random
 import secrets
 import signal
+import types
+from collections.abc import Callable
 
 import uvloop
 
@@ -24,6 +26,8 @@
 from currantcart.telemetry import decisions, loop_errors
 
 SETTINGS_SECONDS = 1.0
+SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
+"""Signals that the node handles."""
 GC_YOUNG, GC_MIDDLE, GC_OLD = 20_000, 20, 50
 
 DEPLOYMENT = node.Deployment(
@@ -74,18 +78,58 @@
     return node.Node(context, store=store, deployment=DEPLOYMENT)
 
 
+def handle_signals(
+    loop: asyncio.AbstractEventLoop,
+    *,
+    stop: Callable[[], None],
+    reload: Callable[[], None],
+) -> None:
+    """Runs callbacks on the loop when signals arrive.
+
+    The loop's own signal handlers would be replaced by the default actions as
+    it closes, and a further signal would then end the process.
+    """
+
+    def handle(number: int, frame: types.FrameType | None) -> None:
+        del frame
+        loop.call_soon_threadsafe(reload if number == signal.SIGHUP else stop)
+
+    for number in SIGNALS:
+        signal.signal(number, handle)
+
+
+def ignore_signals() -> None:
+    """Ignores the signals that the node handles otherwise."""
+    for number in SIGNALS:
+        signal.signal(number, signal.SIG_IGN)
+
+
 async def serve(path: pathlib.Path) -> int:
     """Runs a node until a termination signal.
 
+    Returns:
+      The exit status of the process. Signals are ignored from then on.
+    """
+    try:
+        return await serve_until_stopped(path)
+    finally:
+        ignore_signals()
+
+
+async def serve_until_stopped(path: pathlib.Path) -> int:
+    """Runs a node until a termination signal.
+
     Returns:
       0 after a graceful shutdown, 1 if requests were cut off or an address
       could not be bound.
     """
     loop = asyncio.get_running_loop()
     running = build(proxy_settings.load(path), loop)
-    for name in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(name, running.stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, reload, running, path)
+    handle_signals(
+        loop,
+        stop=running.stopping.set,
+        reload=functools.partial(reload, running, path),
+    )
     try:
         await running.start()
     except OSError as error:
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -109,7 +109,9 @@
         yield process
     finally:
         process.kill()
-        process.communicate()
+        process.wait()
+        if process.stdout is not None:
+            process.stdout.close()
 
 
 def wait_for(condition: Callable[[], bool]) -> None:
@@ -274,3 +276,19 @@
     assert "event=start_failed" in ended.stdout
     assert "address already in use" in ended.stdout
     assert "Traceback" not in ended.stderr
+
+
+def test_signals_during_the_shutdown_keep_the_exit_status(
+    tmp_path: pathlib.Path,
+) -> None:
+    """SIGHUP or SIGTERM until the process is gone must not end it by itself."""
+    with started(write_settings(tmp_path)) as process:
+        read_until(process, "event=started")
+        with futures.ThreadPoolExecutor(1) as executor:
+            reading = executor.submit(process.communicate)
+            while process.poll() is None:
+                process.send_signal(signal.SIGTERM)
+                process.send_signal(signal.SIGHUP)
+                time.sleep(HANG_UP_SECONDS / 10)
+            reading.result()
+    assert process.returncode == 0
