Proxy: wait for the settings and the ports at the start

Seen: a node whose predecessor still held a port for a moment logged start_failed and ended with status 1; one whose settings file was missing, empty, half written or invalid ended with a traceback. A supervisor that starts it again at once sees end after end.

Fix: before a node is built, `startup.prepare` reads the settings and binds all its addresses, and tries again each 50 ms (settings) or 100 ms (addresses) until both are there or SIGTERM or SIGINT comes, which ends the wait with status 0. The settings are read again for each try, so a corrected file is followed. No socket listens before all are bound, and a try that fails closes all of them, so nobody is accepted by a node that cannot start. `start_waits` names the reason, the address and how long, at once and then at intervals that double from 1 s to 60 s; `started` says how long the start took and what it waited for. The stamp of the settings file is taken before it is read: a change between the two was missed until the next one.

test_a_port_in_use_is_logged_in_one_line asserted status 1, which is the fault. test_a_start_waits_for_a_port_in_use replaces it, for each of the four ports: the process lives, one line names the address and the reason, its other ports refuse connections meanwhile, it starts within a second of the port being freed, and there is no traceback; test_a_start_that_waits_can_be_stopped adds SIGTERM with status 0.

--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -6,7 +6,8 @@
 import contextlib
 import dataclasses
 import math
-from collections.abc import Callable
+import socket
+from collections.abc import Callable, Mapping
 
 from currantcart import background, isolation
 from currantcart.admission import connections
@@ -92,7 +93,6 @@
       guard: Admission to the local target.
       outbound: Routing of callers' requests.
       peers: The other nodes.
-      stopping: Set when a shutdown is requested.
       peer_status_received: Set with the first status of a peer.
       discovered: Set after the store was asked for peers and the wait for a
         peer's first status has ended.
@@ -215,7 +215,6 @@
         self.state_log = state_log.StateLog(
             context, quotas=self.quotas, budgets=self.outbound.retries.budgets
         )
-        self.stopping = asyncio.Event()
         self.discovered = asyncio.Event()
         self.ticks = 0
         self.published_changes = 0
@@ -308,13 +307,19 @@
 
     # Start and periodic work.
 
-    async def start(self) -> None:
-        """Binds all ports and starts the background tasks.
+    async def start(
+        self, sockets: Mapping[str, socket.socket] | None = None
+    ) -> None:
+        """Serves all ports and starts the background tasks.
+
+        Args:
+          sockets: Sockets that listen already, by address. Other addresses are
+            bound here.
 
         Raises:
           OSError: A port could not be bound.
         """
-        listen, loop = self.context.settings.listen, self.context.loop
+        listen = self.context.settings.listen
         ports: list[tuple[str, Callable[[], asyncio.Protocol], int]] = [
             (listen.peers, self.peers.accept, 256),
             (listen.callers, self.callers.accept, 1_024),
@@ -324,22 +329,42 @@
         if listen.metrics:
             ports.append((listen.metrics, self.control_of(self.metrics), 8))
         for address, factory, backlog in ports:
-            host, port_number = proxy_settings.split_address(address)
-            self.servers.append(
-                await loop.create_server(
-                    factory, host, port_number, backlog=backlog
-                )
-            )
+            opened = sockets[address] if sockets else None
+            await self.serve_port(address, factory, backlog, opened)
         self.background.keep(self.discover_peers)
         self.background.keep(self.registration.run)
         self.background.keep(self.feed.watch)
         self.background.keep(self.run_ticks)
-        self.context.log.event(
-            "started",
-            process=self.context.process,
-            service=self.context.settings.service,
-            callers=listen.callers,
-        )
+
+    async def serve_port(
+        self,
+        address: str,
+        factory: Callable[[], asyncio.Protocol],
+        backlog: int,
+        opened: socket.socket | None,
+    ) -> None:
+        """Serves a port until the node stops.
+
+        Args:
+          address: Address of the port.
+          factory: Returns the protocol of a connection.
+          backlog: Connections that may wait to be accepted.
+          opened: Socket that listens on the address, if there is one.
+
+        Raises:
+          OSError: The port could not be bound.
+        """
+        loop = self.context.loop
+        if opened is None:
+            host, port = proxy_settings.split_address(address)
+            server = await loop.create_server(
+                factory, host, port, backlog=backlog
+            )
+        else:
+            server = await loop.create_server(
+                factory, sock=opened, backlog=backlog
+            )
+        self.servers.append(server)
 
     def control_of(
         self, handler: control.Handler
@@ -536,5 +561,3 @@
         await asyncio.sleep(LEAVE_SECONDS)
         self.peers.close()
         self.guard.exchange.pool.close()
-        self.context.log.event("stopped")
-        self.context.log.flush()
--- a/src/currantcart/proxy/serve.py
+++ b/src/currantcart/proxy/serve.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import functools
 import gc
 import os
@@ -20,7 +21,7 @@
 from currantcart.platform import config, names, reports
 from currantcart.platform import store as platform_store
 from currantcart.proxy import context as proxy_context
-from currantcart.proxy import header_names, node
+from currantcart.proxy import header_names, node, startup
 from currantcart.proxy import settings as proxy_settings
 from currantcart.proxy.streams import config_feed
 from currantcart.telemetry import decisions, loop_errors
@@ -28,6 +29,7 @@
 SETTINGS_SECONDS = 1.0
 SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
 """Signals that the node handles."""
+EXIT_CUT = 1
 GC_YOUNG, GC_MIDDLE, GC_OLD = 20_000, 20, 50
 
 DEPLOYMENT = node.Deployment(
@@ -43,12 +45,46 @@
 )
 
 
+@dataclasses.dataclass(slots=True)
+class Stop:
+    """The request to stop a process.
+
+    Attributes:
+      requested: Set when a termination signal has arrived.
+      signal: Name of the first one; empty before.
+    """
+
+    requested: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+    signal: str = ""
+
+    def request(self, number: int) -> None:
+        """Requests the stop because of a signal."""
+        self.signal = self.signal or signal.Signals(number).name
+        self.requested.set()
+
+
+def open_log(
+    clock: clock_module.Clock, loop: asyncio.AbstractEventLoop
+) -> decisions.DecisionLog:
+    """Returns the log of a process that does not know its instance yet."""
+    return decisions.DecisionLog(
+        instance="",
+        now=clock.now,
+        wall=clock.wall,
+        write=decisions.to_standard_output,
+        loop=loop,
+    )
+
+
 def build(
-    settings: proxy_settings.ProxySettings, loop: asyncio.AbstractEventLoop
+    settings: proxy_settings.ProxySettings,
+    *,
+    clock: clock_module.Clock,
+    loop: asyncio.AbstractEventLoop,
+    log: decisions.DecisionLog,
 ) -> node.Node:
-    """Returns a node that uses the system's clock, network and output."""
-    clock = clock_module.suspend_aware_clock()
-    os.set_blocking(1, False)
+    """Returns a node that uses the system's network."""
+    log.instance = settings.instance
     context = proxy_context.Context(
         settings=settings,
         header_names=names.HEADER_NAMES,
@@ -57,13 +93,7 @@
         clock=clock,
         loop=loop,
         rng=random.Random(secrets.randbits(64)),
-        log=decisions.DecisionLog(
-            instance=settings.instance,
-            now=clock.now,
-            wall=clock.wall,
-            write=decisions.to_standard_output,
-            loop=loop,
-        ),
+        log=log,
     )
     reporter = loop_errors.ErrorReporter(
         log=context.log, recorded=context.counts, now=clock.now
@@ -81,7 +111,7 @@
 def handle_signals(
     loop: asyncio.AbstractEventLoop,
     *,
-    stop: Callable[[], None],
+    stop: Stop,
     reload: Callable[[], None],
 ) -> None:
     """Runs callbacks on the loop when signals arrive.
@@ -92,7 +122,10 @@
 
     def handle(number: int, frame: types.FrameType | None) -> None:
         del frame
-        loop.call_soon_threadsafe(reload if number == signal.SIGHUP else stop)
+        if number == signal.SIGHUP:
+            loop.call_soon_threadsafe(reload)
+        else:
+            loop.call_soon_threadsafe(stop.request, number)
 
     for number in SIGNALS:
         signal.signal(number, handle)
@@ -108,47 +141,71 @@
     """Runs a node until a termination signal.
 
     Returns:
-      The exit status of the process. Signals are ignored from then on.
+      The exit status of the process: 0 after a graceful shutdown, 1 if
+      requests were cut off. Signals are ignored from then on.
     """
+    loop = asyncio.get_running_loop()
+    clock = clock_module.suspend_aware_clock()
+    log = open_log(clock, loop)
+    stop = Stop()
     try:
-        return await serve_until_stopped(path)
+        cut = await serve_until_stopped(
+            path, clock=clock, loop=loop, log=log, stop=stop
+        )
     finally:
         ignore_signals()
+    status = EXIT_CUT if cut else 0
+    log.event("stopped", reason=stop.signal, cut=cut, status=status)
+    log.flush()
+    return status
 
 
-async def serve_until_stopped(path: pathlib.Path) -> int:
-    """Runs a node until a termination signal.
+async def serve_until_stopped(
+    path: pathlib.Path,
+    *,
+    clock: clock_module.Clock,
+    loop: asyncio.AbstractEventLoop,
+    log: decisions.DecisionLog,
+    stop: Stop,
+) -> int:
+    """Waits for what the node needs, and runs it until a stop is requested.
 
     Returns:
-      0 after a graceful shutdown, 1 if requests were cut off or an address
-      could not be bound.
+      How many requests were cut off.
     """
-    loop = asyncio.get_running_loop()
-    running = build(proxy_settings.load(path), loop)
+    began = clock.now()
+    # Settings are read again for each try, so a reload has nothing to do.
+    handle_signals(loop, stop=stop, reload=lambda: None)
+    wait = startup.Wait(log, clock.now, event="start_waits")
+    ready = await startup.prepare(path, wait=wait, stopping=stop.requested)
+    if ready is None:
+        return 0
+    waited_ms = wait.waited_ms
+    running = build(ready.settings, clock=clock, loop=loop, log=log)
     handle_signals(
-        loop,
-        stop=running.stopping.set,
-        reload=functools.partial(reload, running, path),
+        loop, stop=stop, reload=functools.partial(reload, running, path)
+    )
+    await running.start(ready.sockets)
+    log.event(
+        "started",
+        process=running.context.process,
+        service=ready.settings.service,
+        callers=ready.settings.listen.callers,
+        start_ms=round(clock.now() - began),
+        waited_ms=waited_ms,
+        **({"waited_for": wait.reason} if wait.reason else {}),
     )
-    try:
-        await running.start()
-    except OSError as error:
-        # The previous process may still hold a port. The supervisor retries
-        # the start; the log gives the reason in one line.
-        running.context.log.event("start_failed", detail=str(error))
-        running.context.log.flush()
-        return 1
     running.background.keep(
-        functools.partial(watch_settings, running, path),
+        functools.partial(watch_settings, running, path, ready.stamp),
         name=watch_settings.__qualname__,
     )
     gc.collect()
     gc.freeze()
     gc.set_threshold(GC_YOUNG, GC_MIDDLE, GC_OLD)
-    await running.stopping.wait()
+    await stop.requested.wait()
     cut = await running.drain()
     await running.stop()
-    return 1 if cut else 0
+    return cut
 
 
 def reload(running: node.Node, path: pathlib.Path) -> None:
@@ -161,26 +218,25 @@
     running.use_settings(settings)
 
 
-async def watch_settings(running: node.Node, path: pathlib.Path) -> None:
-    """Reloads the settings when their file changes, also without SIGHUP."""
-    seen = file_stamp(path)
+async def watch_settings(
+    running: node.Node, path: pathlib.Path, seen: tuple[float, int]
+) -> None:
+    """Reloads the settings when their file changes, also without SIGHUP.
+
+    Args:
+      running: The node.
+      path: Settings file.
+      seen: Stamp of the file when it was read.
+    """
     while True:
         await asyncio.sleep(SETTINGS_SECONDS)
-        present = file_stamp(path)
+        present = startup.file_stamp(path)
         if present != seen:
             seen = present
             reload(running, path)
 
 
-def file_stamp(path: pathlib.Path) -> tuple[float, int]:
-    """Returns a file's modification time and size; zeros if not accessible."""
-    try:
-        stat = path.stat()
-    except OSError:
-        return 0.0, 0
-    return stat.st_mtime, stat.st_size
-
-
 def run(path: pathlib.Path) -> int:
     """Runs a node on a uvloop event loop and returns its exit status."""
+    os.set_blocking(1, False)
     return uvloop.run(serve(path))
--- a/src/currantcart/telemetry/decisions.py
+++ b/src/currantcart/telemetry/decisions.py
@@ -30,6 +30,7 @@
     """Rate-limited, buffered log of the decisions of one node.
 
     Attributes:
+      instance: Instance that each line names; none if empty.
       dropped: Lines dropped in the current second by the rate limit, by event.
       dropped_bytes: Total bytes dropped because the buffer or the pipe was
         full.
@@ -91,6 +92,7 @@
 
     def append(self, event: str, values: dict[str, object]) -> None:
         """Formats a line and adds it to the buffer."""
+        instance = {"instance": self.instance} if self.instance else {}
         stamp = datetime.datetime.fromtimestamp(
             self.wall() / SECOND_MS, datetime.UTC
         )
@@ -100,7 +102,7 @@
             {
                 "timestamp": stamp.isoformat(timespec="milliseconds"),
                 "event": event,
-                "instance": self.instance,
+                **instance,
                 **values,
             },
         )
--- a/src/currantcart/telemetry/timeline.py
+++ b/src/currantcart/telemetry/timeline.py
@@ -16,6 +16,7 @@
 CHANGES = frozenset(
     {
         "started",
+        "start_waits",
         "stopped",
         "draining",
         "peer_known",
--- a/tests/telemetry/test_decisions.py
+++ b/tests/telemetry/test_decisions.py
@@ -91,3 +91,13 @@
     log.event("third", n=3)
     await asyncio.sleep(0.1)
     assert [line.split()[-1] for line in pipe.lines] == ["n=1", "n=3"]
+
+
+async def test_a_line_before_the_settings_names_no_instance() -> None:
+    """An instance that is not known yet is left out."""
+    pipe = Pipe(10_000)
+    log = new_log(pipe, Time())
+    log.instance = ""
+    log.event("start_waits", reason="x")
+    log.flush()
+    assert pipe.lines[-1].endswith("event=start_waits reason=x")
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -64,8 +64,8 @@
                 "peers": peers,
                 "readiness": readiness,
                 "reports": reports,
-                **listen,
-            },
+            }
+            | listen,
             "store": store,
         }
     )
@@ -88,22 +88,21 @@
       settings: Settings file; need not exist.
       options: Further arguments of `subprocess.Popen`.
     """
-    streams: dict[str, Any] = {
+    defaults: dict[str, Any] = {
+        "stdin": subprocess.DEVNULL,
         "stdout": subprocess.PIPE,
         "stderr": subprocess.STDOUT,
-    }
-    environment = {
-        "PATH": os.environ["PATH"],
-        "PYTHONPATH": sysconfig.get_path("purelib"),
-        "CURRANTCART_BOOT": str(settings),
+        "env": {
+            "PATH": os.environ["PATH"],
+            "PYTHONPATH": sysconfig.get_path("purelib"),
+            "CURRANTCART_BOOT": str(settings),
+        },
     }
     process = subprocess.Popen(
         [sys.executable, *run_command()[1:]],
         cwd=DEPLOY.parent,
-        stdin=subprocess.DEVNULL,
-        env=environment,
         text=True,
-        **streams | options,
+        **defaults | options,
     )
     try:
         yield process
@@ -235,47 +234,93 @@
     assert role["serves"] == ["sidecar"]
 
 
-def test_a_port_in_use_is_logged_in_one_line(
-    tmp_path: pathlib.Path,
+def taken_port() -> socket.socket:
+    """Returns a socket that listens on a port of loopback."""
+    taken = socket.socket()
+    taken.bind(("127.0.0.1", 0))
+    taken.listen()
+    return taken
+
+
+def address_of(listening: socket.socket) -> str:
+    """Returns the address of a socket on loopback."""
+    return f"127.0.0.1:{listening.getsockname()[1]}"
+
+
+def end(process: subprocess.Popen[str]) -> list[str]:
+    """Stops a process with SIGTERM and returns the rest of its output."""
+    process.send_signal(signal.SIGTERM)
+    assert process.stdout is not None
+    lines = list(process.stdout)
+    process.wait(WAIT_SECONDS_MAX)
+    return lines
+
+
+@pytest.mark.parametrize("port", ["callers", "peers", "readiness", "reports"])
+def test_a_start_waits_for_a_port_in_use(
+    tmp_path: pathlib.Path, port: str
 ) -> None:
-    """A node starts while its predecessor still holds the port.
+    """A node starts while its predecessor still holds a port."""
+    with taken_port() as taken:
+        address = address_of(taken)
+        settings = write_settings(tmp_path, **{port: address})
+        with started(settings) as process:
+            lines = read_until(process, "event=start_waits")
+            assert f"address={address}" in lines[-1]
+            assert 'reason="Address already in use"' in lines[-1]
+            free = json.loads(settings.read_text())["listen"]
+            free = free["callers" if port != "callers" else "peers"]
+            with pytest.raises(ConnectionRefusedError):
+                host, number = free.split(":")
+                socket.create_connection((host, int(number))).close()
+            taken.close()
+            freed = time.monotonic()
+            lines += read_until(process, "event=started")
+            assert time.monotonic() - freed < 1.0
+            assert 'waited_for="Address already in use"' in lines[-1]
+            assert process.poll() is None
+    text = "".join(lines)
+    assert "Traceback" not in text
+    assert text.count("event=start_waits") == 1
+
+
+def test_a_start_that_waits_can_be_stopped(tmp_path: pathlib.Path) -> None:
+    """SIGTERM ends a node that waits for its port, with status 0."""
+    with taken_port() as taken:
+        settings = write_settings(tmp_path, callers=address_of(taken))
+        with started(settings) as process:
+            read_until(process, "event=start_waits")
+            lines = end(process)
+    assert process.returncode == 0
+    assert "event=stopped reason=SIGTERM cut=0 status=0" in lines[-1]
 
-    The start must fail with one log line that names the cause, not with a
-    traceback.
-    """
-    with socket.socket() as taken, socket.socket() as free:
-        taken.bind(("127.0.0.1", 0))
-        taken.listen()
-        free.bind(("127.0.0.1", 0))
-        free.listen()
-        address = f"127.0.0.1:{taken.getsockname()[1]}"
-        settings = tmp_path / "settings.json"
-        settings.write_text(
-            json.dumps(
-                {
-                    "instance": "n1",
-                    "failure_domain": "a",
-                    "region": "r",
-                    "service": "grades",
-                    "target": "127.0.0.1:1",
-                    "listen": dict.fromkeys(
-                        ("callers", "peers", "readiness", "reports"), address
-                    ),
-                    "store": f"127.0.0.1:{free.getsockname()[1]}",
-                }
-            )
-        )
-        ended = subprocess.run(
-            [sys.executable, str(DEPLOY / "node.py")],
-            env={**os.environ, "CURRANTCART_BOOT": str(settings)},
-            capture_output=True,
-            text=True,
-            check=False,
-        )
-    assert ended.returncode == 1
-    assert "event=start_failed" in ended.stdout
-    assert "address already in use" in ended.stdout
-    assert "Traceback" not in ended.stderr
+
+@pytest.mark.parametrize("text", [None, "", "half", '{"instance": 1}'], ids=str)
+def test_a_start_waits_for_valid_settings(
+    tmp_path: pathlib.Path, text: str | None
+) -> None:
+    """The settings file is missing, empty, half written or invalid."""
+    whole = settings_text()
+    path = tmp_path / "settings.json"
+    if text is not None:
+        path.write_text(whole[: len(whole) // 2] if text == "half" else text)
+    with started(path) as process:
+        lines = read_until(process, "event=start_waits")
+        assert "settings.json" in lines[-1]
+        assert "instance=" not in lines[-1]
+        path.write_text(whole)
+        lines += read_until(process, "event=started")
+        assert "instance=n1" in lines[-1]
+    assert "Traceback" not in "".join(lines)
+
+
+def test_a_wait_for_settings_can_be_stopped(tmp_path: pathlib.Path) -> None:
+    """SIGTERM ends a node that waits for its settings, with status 0."""
+    with started(tmp_path / "missing.json") as process:
+        read_until(process, "event=start_waits")
+        lines = end(process)
+    assert process.returncode == 0
+    assert "event=stopped reason=SIGTERM cut=0 status=0" in lines[-1]
 
 
 def test_signals_during_the_shutdown_keep_the_exit_status(
