Proxy: start without the metrics port

Seen: of twelve nodes on one address, each with the template's metrics port, 11 ended at each start: the port was bound with the others, and a port that is taken kept the node from starting.

Fix: the metrics are served by a background task that binds their address once the node has started, and tries again each second; `metrics_wait` says why it waits, `metrics_served` that it no longer does.

test_a_metrics_port_in_use_does_not_keep_a_node_from_starting failed on the code before (start_failed).

--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -310,7 +310,7 @@
     async def start(
         self, sockets: Mapping[str, socket.socket] | None = None
     ) -> None:
-        """Serves all ports and starts the background tasks.
+        """Serves all ports but the metrics, and starts the background tasks.
 
         Args:
           sockets: Sockets that listen already, by address. Other addresses are
@@ -326,8 +326,6 @@
             (listen.readiness, self.control_of(self.probe), 32),
             (listen.reports, self.control_of(self.reports.answer), 32),
         ]
-        if listen.metrics:
-            ports.append((listen.metrics, self.control_of(self.metrics), 8))
         for address, factory, backlog in ports:
             opened = sockets[address] if sockets else None
             await self.serve_port(address, factory, backlog, opened)
--- a/src/currantcart/proxy/serve.py
+++ b/src/currantcart/proxy/serve.py
@@ -29,6 +29,8 @@
 SETTINGS_SECONDS = 1.0
 SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
 """Signals that the node handles."""
+METRICS_POLL_SECONDS = 1.0
+METRICS_BACKLOG = 8
 EXIT_CUT = 1
 GC_YOUNG, GC_MIDDLE, GC_OLD = 20_000, 20, 50
 
@@ -199,6 +201,8 @@
         functools.partial(watch_settings, running, path, ready.stamp),
         name=watch_settings.__qualname__,
     )
+    if ready.settings.listen.metrics:
+        running.background.keep(functools.partial(serve_metrics, running))
     gc.collect()
     gc.freeze()
     gc.set_threshold(GC_YOUNG, GC_MIDDLE, GC_OLD)
@@ -208,6 +212,27 @@
     return cut
 
 
+async def serve_metrics(running: node.Node) -> None:
+    """Serves the metrics, as soon as their address is free."""
+    context = running.context
+    address = context.settings.listen.metrics
+    wait = startup.Wait(context.log, lambda: context.now, event="metrics_wait")
+    while True:
+        try:
+            opened = startup.listen((address,))[address]
+            break
+        except OSError as error:
+            wait.note(str(error.strerror), address=address)
+        await asyncio.sleep(METRICS_POLL_SECONDS)
+    await running.serve_port(
+        address, running.control_of(running.metrics), METRICS_BACKLOG, opened
+    )
+    if wait.reason:
+        context.log.event(
+            "metrics_served", address=address, waited_ms=wait.waited_ms
+        )
+
+
 def reload(running: node.Node, path: pathlib.Path) -> None:
     """Reloads the settings; invalid settings are logged and ignored."""
     try:
--- a/src/currantcart/proxy/startup.py
+++ b/src/currantcart/proxy/startup.py
@@ -158,17 +158,7 @@
             settings = proxy_settings.load(path)
             own = settings.listen
             sockets = listen(
-                [
-                    address
-                    for address in (
-                        own.metrics,
-                        own.peers,
-                        own.readiness,
-                        own.reports,
-                        own.callers,
-                    )
-                    if address
-                ]
+                (own.peers, own.readiness, own.reports, own.callers)
             )
         except errors.SettingsError as error:
             wait.note(error.detail)
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -295,6 +295,24 @@
     assert "event=stopped reason=SIGTERM cut=0 status=0" in lines[-1]
 
 
+def test_a_metrics_port_in_use_does_not_keep_a_node_from_starting(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Several nodes of one address cannot all have the metrics port."""
+    with taken_port() as taken:
+        address = address_of(taken)
+        with started(write_settings(tmp_path, metrics=address)) as process:
+            lines = read_until(process, "event=metrics_wait")
+            assert any("event=started" in line for line in lines)
+            assert f"address={address}" in lines[-1]
+            taken.close()
+            read_until(process, "event=metrics_served")
+            host, port = address.split(":")
+            with socket.create_connection((host, int(port))) as connection:
+                connection.sendall(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
+                assert b" 200 " in connection.recv(64)
+
+
 @pytest.mark.parametrize("text", [None, "", "half", '{"instance": 1}'], ids=str)
 def test_a_start_waits_for_valid_settings(
     tmp_path: pathlib.Path, text: str | None
