Proxy: keep closed standard streams out of the descriptors

Seen: a node that is started with standard output closed writes its log lines into whatever gets the number one; here it was the event loop's epoll descriptor (test, /proc/PID/fd/1), which also became non-blocking. Lines were lost without a word; with another order it would be a peer's socket. Standard error was blocking: a node whose errors nobody reads could wait for ever.

Fix: before the loop opens anything, the null device takes the place of standard streams that are closed, and neither output blocks.

test_closed_standard_streams_are_not_used_by_sockets failed on the code before, for (1,) and for (0, 1, 2) ('anon_inode:[eventpoll]'). test_a_node_starts_though_nobody_reads_its_output is a guard that passed before too: no line was written to standard error there.

--- a/src/currantcart/proxy/serve.py
+++ b/src/currantcart/proxy/serve.py
@@ -261,7 +261,22 @@
             reload(running, path)
 
 
+def open_standard_streams() -> None:
+    """Opens the null device in place of standard streams that are closed.
+
+    Otherwise a socket gets the number of one of them, and log lines are
+    written into it. Output does not block: nobody may read it.
+    """
+    for number in (0, 1, 2):
+        try:
+            os.fstat(number)
+        except OSError:
+            os.open(os.devnull, os.O_RDWR)
+    os.set_blocking(1, False)
+    os.set_blocking(2, False)
+
+
 def run(path: pathlib.Path) -> int:
     """Runs a node on a uvloop event loop and returns its exit status."""
-    os.set_blocking(1, False)
+    open_standard_streams()
     return uvloop.run(serve(path))
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -355,3 +355,53 @@
                 time.sleep(HANG_UP_SECONDS / 10)
             reading.result()
     assert process.returncode == 0
+
+
+@pytest.mark.parametrize("closed", [(1,), (0, 1, 2)], ids=str)
+def test_closed_standard_streams_are_not_used_by_sockets(
+    tmp_path: pathlib.Path, closed: tuple[int, ...]
+) -> None:
+    """Log lines must not be written into a socket that has the number one."""
+
+    def close() -> None:
+        for number in closed:
+            os.close(number)
+
+    settings = write_settings(tmp_path)
+    callers = json.loads(settings.read_text())["listen"]["callers"]
+    with started(settings, preexec_fn=close) as process:
+        wait_for(lambda: accepts(callers) or process.poll() is not None)
+        assert process.poll() is None
+        for number in closed:
+            opened = pathlib.Path(f"/proc/{process.pid}/fd/{number}")
+            assert str(opened.readlink()) == os.devnull
+
+
+def accepts(address: str) -> bool:
+    """Returns whether an address accepts connections."""
+    host, port = address.split(":")
+    try:
+        socket.create_connection((host, int(port))).close()
+    except ConnectionRefusedError:
+        return False
+    return True
+
+
+def test_a_node_starts_though_nobody_reads_its_output(
+    tmp_path: pathlib.Path,
+) -> None:
+    """A full pipe on standard output and error must not block a node."""
+    reading, writing = os.pipe()
+    os.set_blocking(writing, False)
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            os.write(writing, b"x" * 4_096)
+    os.set_blocking(writing, True)
+    settings = write_settings(tmp_path)
+    callers = json.loads(settings.read_text())["listen"]["callers"]
+    with started(settings, stdout=writing, stderr=writing) as process:
+        wait_for(lambda: accepts(callers) or process.poll() is not None)
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(WAIT_SECONDS_MAX) == 0
+    os.close(reading)
+    os.close(writing)
