Proxy: say in the last log line why a process ends

Seen: processes that ended by themselves left nothing from which to tell a planned stop, an unexpected error and a signal apart.

Fix: the last line of a process that was asked to stop is `stopped` with the signal, the requests that were cut and the exit status; an exception that leaves `serve` gives `ended` with its type, text and place, and status 70, in one line instead of a traceback. Both are written past the limit of lines a second. Without the path of the settings the start file writes one line and ends with status 2.

--- a/deploy/node.py
+++ b/deploy/node.py
@@ -16,5 +16,13 @@
 
 from currantcart.proxy import serve  # noqa: E402
 
+VARIABLE = "CURRANTCART_BOOT"
+EXIT_USAGE = 2
+
 if __name__ == "__main__":
-    sys.exit(serve.run(pathlib.Path(os.environ["CURRANTCART_BOOT"])))
+    if not os.environ.get(VARIABLE):
+        sys.stderr.write(
+            f'event=ended detail="{VARIABLE} is not set" status={EXIT_USAGE}\n'
+        )
+        sys.exit(EXIT_USAGE)
+    sys.exit(serve.run(pathlib.Path(os.environ[VARIABLE])))
--- a/src/currantcart/proxy/serve.py
+++ b/src/currantcart/proxy/serve.py
@@ -11,6 +11,7 @@
 import random
 import secrets
 import signal
+import traceback
 import types
 from collections.abc import Callable
 
@@ -32,6 +33,8 @@
 METRICS_POLL_SECONDS = 1.0
 METRICS_BACKLOG = 8
 EXIT_CUT = 1
+EXIT_INTERNAL = 70
+DETAIL_CHARACTERS_MAX = 300
 GC_YOUNG, GC_MIDDLE, GC_OLD = 20_000, 20, 50
 
 DEPLOYMENT = node.Deployment(
@@ -140,11 +143,12 @@
 
 
 async def serve(path: pathlib.Path) -> int:
-    """Runs a node until a termination signal.
+    """Runs a node until a termination signal, and logs why it ends.
 
     Returns:
       The exit status of the process: 0 after a graceful shutdown, 1 if
-      requests were cut off. Signals are ignored from then on.
+      requests were cut off, `EXIT_INTERNAL` after an unexpected error. Signals
+      are ignored from then on.
     """
     loop = asyncio.get_running_loop()
     clock = clock_module.suspend_aware_clock()
@@ -154,11 +158,13 @@
         cut = await serve_until_stopped(
             path, clock=clock, loop=loop, log=log, stop=stop
         )
-    finally:
+    except Exception as error:
         ignore_signals()
+        log.last("ended", **failure(error), status=EXIT_INTERNAL)
+        return EXIT_INTERNAL
+    ignore_signals()
     status = EXIT_CUT if cut else 0
-    log.event("stopped", reason=stop.signal, cut=cut, status=status)
-    log.flush()
+    log.last("stopped", reason=stop.signal, cut=cut, status=status)
     return status
 
 
@@ -233,6 +239,16 @@
         )
 
 
+def failure(error: Exception) -> dict[str, object]:
+    """Returns an error's type, text and place, for one log line."""
+    place = traceback.extract_tb(error.__traceback__)[-1]
+    return {
+        "error": type(error).__name__,
+        "detail": str(error)[:DETAIL_CHARACTERS_MAX],
+        "place": f"{place.filename}:{place.lineno}",
+    }
+
+
 def reload(running: node.Node, path: pathlib.Path) -> None:
     """Reloads the settings; invalid settings are logged and ignored."""
     try:
--- a/src/currantcart/telemetry/decisions.py
+++ b/src/currantcart/telemetry/decisions.py
@@ -73,6 +73,12 @@
         self.lines += 1
         self.append(event, values)
 
+    def last(self, event: str, **values: object) -> None:
+        """Logs the last line of the process, whatever the rate, and writes."""
+        self.flush()
+        self.append(event, values)
+        self.flush()
+
     def begin_second(self, now: float) -> None:
         """Starts a new second, and logs what has been dropped since."""
         self.second = now
--- a/src/currantcart/telemetry/timeline.py
+++ b/src/currantcart/telemetry/timeline.py
@@ -18,6 +18,7 @@
         "started",
         "start_waits",
         "stopped",
+        "ended",
         "draining",
         "peer_known",
         "peer_dropped",
--- a/tests/telemetry/test_decisions.py
+++ b/tests/telemetry/test_decisions.py
@@ -93,11 +93,20 @@
     assert [line.split()[-1] for line in pipe.lines] == ["n=1", "n=3"]
 
 
+async def test_the_last_line_is_written_whatever_the_rate() -> None:
+    """The line that says why a process ends must not be left out."""
+    pipe = Pipe(10_000_000)
+    log = new_log(pipe, Time())
+    for _ in range(2 * decisions.LINES_A_SECOND):
+        log.event("refused")
+    log.last("stopped", status=0)
+    assert "event=stopped instance=n1 status=0" in pipe.lines[-1]
+
+
 async def test_a_line_before_the_settings_names_no_instance() -> None:
     """An instance that is not known yet is left out."""
     pipe = Pipe(10_000)
     log = new_log(pipe, Time())
     log.instance = ""
-    log.event("start_waits", reason="x")
-    log.flush()
+    log.last("start_waits", reason="x")
     assert pipe.lines[-1].endswith("event=start_waits reason=x")
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -353,8 +353,22 @@
                 process.send_signal(signal.SIGTERM)
                 process.send_signal(signal.SIGHUP)
                 time.sleep(HANG_UP_SECONDS / 10)
-            reading.result()
+            output, _ = reading.result()
     assert process.returncode == 0
+    last = output.splitlines()[-1]
+    assert "event=stopped instance=n1 reason=SIGTERM cut=0 status=0" in last
+
+
+def test_a_start_without_the_path_of_settings_says_so(
+    tmp_path: pathlib.Path,
+) -> None:
+    """A missing variable is an error of the deployment: one line, status 2."""
+    environment = {"PYTHONPATH": sysconfig.get_path("purelib")}
+    with started(tmp_path, env=environment) as process:
+        lines = read_until(process, "status=2")
+        assert process.wait(WAIT_SECONDS_MAX) == 2
+    assert len(lines) == 1
+    assert "CURRANTCART_BOOT is not set" in lines[0]
 
 
 @pytest.mark.parametrize("closed", [(1,), (0, 1, 2)], ids=str)
