Log any value on one bounded line

Seen: checking what can raise in a callback that handles a stranger's value. Logging it could: text with half of a surrogate pair, as JSON may hold, and integers of more than 4,300 digits raised an error in the code that logged. A text of 100,000 characters was logged in full.

Fix: a line that can't be formatted is replaced by `line_unwritable` with the event's name, what can't be encoded is escaped, and texts are shortened to 1,000 characters.

--- a/src/currantcart/telemetry/decisions.py
+++ b/src/currantcart/telemetry/decisions.py
@@ -3,7 +3,8 @@
 Lines are buffered for up to `FLUSH_SECONDS` and written together, so that a
 request does not cost a system call for each line. At most `LINES_A_SECOND`
 lines are logged per second. Further lines are dropped and counted by event;
-the counts are logged before the first line of a later second.
+the counts are logged before the first line of a later second. Logging never
+raises an error, whatever the values are: they may be what a stranger has sent.
 """
 
 from __future__ import annotations
@@ -20,6 +21,8 @@
 BUFFER_BYTES_MAX = 256 * 1024
 FLUSH_SECONDS = 0.05
 SECOND_MS = 1_000.0
+VALUE_CHARACTERS_MAX = 1_000
+"""Length to which a text is shortened."""
 
 RENDER = structlog.processors.LogfmtRenderer(
     key_order=["timestamp", "event"], bool_as_flag=False
@@ -98,22 +101,33 @@
 
     def append(self, event: str, values: dict[str, object]) -> None:
         """Formats a line and adds it to the buffer."""
-        instance = {"instance": self.instance} if self.instance else {}
+        try:
+            line = self.format(event, values)
+        except Exception as error:
+            line = self.format(
+                "line_unwritable", {"of": event, "error": type(error).__name__}
+            )
+        # Text of JSON may hold halves of a surrogate pair.
+        self.keep(line.encode(errors="backslashreplace") + b"\n")
+
+    def format(self, event: str, values: dict[str, object]) -> str:
+        """Returns a line without its end."""
         stamp = datetime.datetime.fromtimestamp(
             self.wall() / SECOND_MS, datetime.UTC
         )
-        line = RENDER(
-            None,
-            "",
-            {
-                "timestamp": stamp.isoformat(timespec="milliseconds"),
-                "event": event,
-                **instance,
-                **values,
-            },
-        )
+        pairs: dict[str, object] = {
+            "timestamp": stamp.isoformat(timespec="milliseconds"),
+            "event": event,
+        }
+        if self.instance:
+            pairs["instance"] = self.instance
+        for key, value in values.items():
+            if type(value) is str and len(value) > VALUE_CHARACTERS_MAX:
+                value = value[:VALUE_CHARACTERS_MAX]
+            pairs[key] = value
+        line = RENDER(None, "", pairs)
         assert isinstance(line, str)
-        self.keep(line.encode() + b"\n")
+        return line
 
     def keep(self, line: bytes) -> None:
         """Buffers a line until the next flush; drops it if there is no room."""
--- a/tests/telemetry/test_decisions.py
+++ b/tests/telemetry/test_decisions.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+import pytest
+
 from currantcart.telemetry import decisions
 
 
@@ -110,3 +112,28 @@
     log.instance = ""
     log.last("start_waits", reason="x")
     assert pipe.lines[-1].endswith("event=start_waits reason=x")
+
+
+@pytest.mark.parametrize(
+    ("value", "written"),
+    [
+        ("\ud800", "event=odd instance=n1 value=\\ud800"),
+        (10**5_000, "event=line_unwritable instance=n1 of=odd"),
+        ("x" * 100_000, "event=odd instance=n1 value=xxx"),
+        ("a\nb", "event=odd instance=n1 value="),
+    ],
+    ids=["surrogate", "digits", "long", "lines"],
+)
+async def test_any_value_is_one_bounded_line(
+    value: object, written: str
+) -> None:
+    """Guards against an error or a flood from logging a stranger's value."""
+    pipe = Pipe(1_000_000)
+    log = new_log(pipe, Time())
+    log.event("odd", value=value)
+    log.event("next")
+    await asyncio.sleep(0.1)
+    odd, after = pipe.lines
+    assert written in odd
+    assert len(odd) < 1_200
+    assert "event=next" in after
