Log how the previous process of an instance has ended

Seen: processes that ended were told by nobody: the process itself has written nothing if it was killed, and its successor said nothing of it.

Fix: the entry in the store carries when it was written and whether its process was ending as requested. A start that finds the entry of another process of its instance logs `previous_process` with the process's id, `clean` and the age of the entry. The mark is written as the drain begins, beside the requests in progress, so it doesn't delay the end: one call to the store more for each requested end, none if the store was last found unreachable, none more while the node runs. Entries without the fields, and unknown fields, are read by both releases.

--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -526,6 +526,7 @@
         Returns:
           How many requests were still in progress and will be cut off.
         """
+        self.registration.announce_end()
         cut = await shutdown.drain(
             self.context,
             running=self.running,
--- a/src/currantcart/proxy/streams/registration.py
+++ b/src/currantcart/proxy/streams/registration.py
@@ -49,10 +49,15 @@
     Attributes:
       member: The node.
       target: Last valid report of its target; None before the first.
+      written_ms: When it was written, in milliseconds since 1970; 0 if the
+        process is of a release that doesn't state it.
+      ending: Whether the process was ending as requested.
     """
 
     member: frames.Member
     target: target_record.Report | None = None
+    written_ms: float = 0.0
+    ending: bool = False
 
 
 ENTRY = msgspec.json.Decoder(Entry)
@@ -63,13 +68,18 @@
     """The entry that the previous process of this node has left.
 
     Attributes:
-      target: Last valid report of the target; None without one.
+      entry: Its content; None if it can't be read.
       lease: Lease that holds the entry; 0 without one.
     """
 
-    target: target_record.Report | None
+    entry: Entry | None
     lease: int
 
+    @property
+    def target(self) -> target_record.Report | None:
+        """Last valid report of the target; None without one."""
+        return self.entry.target if self.entry is not None else None
+
 
 class Registration:
     """Maintains one node's entry and reads those of the others.
@@ -80,6 +90,7 @@
         without one. It is confirmed only by a write under its revision.
       revision: The store's revision of the entry; 0 while there is none.
       dirty: Whether the entry has to be written again.
+      ending: Whether this process is ending as requested.
       listed: Set once the entries were read.
       confirmed: Set once the entry of the previous process is confirmed, or
         its absence.
@@ -116,6 +127,7 @@
         self.previous: PreviousEntry | None = None
         self.revision = 0
         self.dirty = True
+        self.ending = False
         self.listed = asyncio.Event()
         self.confirmed = asyncio.Event()
         self.renewed_at = 0.0
@@ -190,9 +202,7 @@
         if self.confirmed.is_set():
             return
         self.revision = item.revision
-        self.previous = PreviousEntry(
-            entry.target if entry else None, item.lease
-        )
+        self.previous = PreviousEntry(entry, item.lease)
 
     def decode(self, item: leased.Item) -> Entry | None:
         """Decodes an entry; returns None and logs it if it is malformed."""
@@ -246,7 +256,10 @@
         previous = self.previous
         # A report that arrives during the write must cause another one.
         self.dirty = False
-        value = msgspec.json.encode(Entry(self.member, self.target()))
+        entry = Entry(
+            self.member, self.target(), self.context.clock.wall(), self.ending
+        )
+        value = msgspec.json.encode(entry)
         try:
             answer = await self.store.put(
                 self.key, value, lease=self.lease, expected=self.revision
@@ -287,7 +300,7 @@
           previous: The entry as read before the write; None if there was none.
         """
         if not self.confirmed.is_set():
-            self.restore(previous.target if previous else None)
+            self.restore(previous.entry if previous else None)
 
     def handle_conflict(self, present: leased.Item) -> None:
         """Merges an entry whose revision was not the expected one.
@@ -303,15 +316,47 @@
             phase=entry.target.phase if entry and entry.target else "",
         )
         if entry is not None:
-            self.restore(entry.target)
+            self.restore(entry)
+
+    def restore(self, entry: Entry | None) -> None:
+        """Restores the target's report from the previous process.
 
-    def restore(self, report: target_record.Report | None) -> None:
-        """Restores the target's report from the previous process."""
+        Args:
+          entry: The entry that it has left; None without one.
+        """
+        if entry is not None and not self.confirmed.is_set():
+            self.log_previous(entry)
         self.previous = None
         self.confirmed.set()
-        self.record.restore(report)
+        self.record.restore(entry.target if entry is not None else None)
         self.on_restored()
 
+    def log_previous(self, entry: Entry) -> None:
+        """Logs how the previous process has ended, as far as is known."""
+        if entry.member.process == self.member.process:
+            return
+        age: dict[str, float] = {}
+        if entry.written_ms:
+            age["written_ms_ago"] = round(
+                self.context.clock.wall() - entry.written_ms
+            )
+        self.context.log.event(
+            "previous_process",
+            process=entry.member.process,
+            clean=entry.ending,
+            **age,
+        )
+
+    def announce_end(self) -> None:
+        """Has the entry tell the next process that this one ends as requested.
+
+        It is written while the requests in progress are served. A store that
+        can't be reached must not delay the end, so it is not told then.
+        """
+        self.ending = True
+        if self.is_store_reachable:
+            self.mark_dirty()
+
     async def try_write(self) -> None:
         """Writes the entry, and records whether the store is reachable."""
         await self.try_call(self.write())
