Log that a process comes near its memory limit

Seen: nothing told a kill by the memory limit from any other. Gauges gave the bodies in memory, not the memory of the process.

`currantcart_resident_bytes` tells it; `memory_high` is logged, and written at once, when it reaches 0.8 and 0.9 of `memory_mb`, with the counts that may explain it, and `memory_eased` below 0.7.

--- a/src/currantcart/proxy/gauges.py
+++ b/src/currantcart/proxy/gauges.py
@@ -6,6 +6,7 @@
 
 from currantcart.call import quarantine
 from currantcart.proxy import context as proxy_context
+from currantcart.proxy import memory
 from currantcart.proxy import state_log as state_log_module
 from currantcart.proxy.callers import frontend
 from currantcart.proxy.requests import outbound
@@ -23,6 +24,7 @@
     state_log: state_log_module.StateLog,
     silent_share: Callable[[], float],
     failing_work: Callable[[], int],
+    memory_watch: memory.MemoryWatch,
 ) -> None:
     """Registers the gauges of a node.
 
@@ -35,6 +37,7 @@
       state_log: Log of state changes.
       silent_share: Returns the share of the fleet that is silent, 0 to 1.
       failing_work: Returns how much background work has failed recently.
+      memory_watch: Resident memory of the process.
     """
     known, queue = context.freshness, local_guard.queue
     known_ends = context.quarantine
@@ -47,6 +50,7 @@
         "streams": lambda: len(peers.dialled) + len(peers.accepted),
         "relaying": lambda: float(peers.relay.is_acting),
         "calls": lambda: len(router.calls),
+        "resident_bytes": lambda: memory_watch.resident,
         "held_bytes": lambda: context.held.held,
         "caller_connections": lambda: len(callers.connections),
         "running": lambda: queue.running,
--- a/src/currantcart/proxy/node.py
+++ b/src/currantcart/proxy/node.py
@@ -16,6 +16,7 @@
 from currantcart.proxy import (
     control,
     gauges,
+    memory,
     quarantine_page,
     shutdown,
     state_log,
@@ -215,6 +216,7 @@
         self.state_log = state_log.StateLog(
             context, quotas=self.quotas, budgets=self.outbound.retries.budgets
         )
+        self.memory = memory.MemoryWatch(context)
         self.discovered = asyncio.Event()
         self.ticks = 0
         self.published_changes = 0
@@ -227,6 +229,7 @@
             state_log=self.state_log,
             silent_share=self.silent_share,
             failing_work=self.background.failing,
+            memory_watch=self.memory,
         )
 
     def own_service_level(self) -> float:
@@ -413,6 +416,7 @@
         isolation.run(loop, self.update_quotas, now, pressing=bool(expedited))
         if self.ticks % SWEEP_TICKS == 0:
             isolation.run(loop, self.sweep_callers)
+            isolation.run(loop, self.check_memory)
             isolation.run(loop, self.state_log.log_changes, now)
             isolation.run(loop, self.context.quarantine.expire, now)
             isolation.run(loop, self.guard.exchange.pool.sweep, now)
@@ -439,6 +443,15 @@
         )
         self.callers.sweep()
 
+    def check_memory(self) -> None:
+        """Logs it if the process comes near its memory limit."""
+        self.memory.check(
+            caller_connections=len(self.callers.connections),
+            streams=len(self.peers.dialled) + len(self.peers.accepted),
+            calls=len(self.outbound.calls),
+            at_target=len(self.guard.running),
+        )
+
     def is_change_unpublished(self) -> bool:
         """Returns whether all peers are to be told of a change now.
 
--- a/src/currantcart/telemetry/definitions.py
+++ b/src/currantcart/telemetry/definitions.py
@@ -115,6 +115,7 @@
     "streams": "Open streams with peers",
     "relaying": "1 while the node relays statuses, else 0",
     "calls": "Requests on their way",
+    "resident_bytes": "Resident memory of the process",
     "held_bytes": "Bytes of bodies in memory, one copy of each",
     "caller_connections": "Connections of callers that are open",
     "running": "Requests at the target",
--- a/src/currantcart/telemetry/timeline.py
+++ b/src/currantcart/telemetry/timeline.py
@@ -25,6 +25,8 @@
         "peer_restarted",
         "previous_process",
         "background_failed",
+        "memory_high",
+        "memory_eased",
         "unhandled_error",
         "peer_ended",
         "link_lost",
