Parse pipelined requests only as those before them are answered

Seen: looking for memory above the account of bodies. A connection stops reading at 16 queued requests, but only after all received bytes are parsed: up to 256 KiB, over 8,000 requests of 31 bytes.

Fix: the reader parses in parts of 4 KiB (16 KiB within a body) while there is room for requests. The rest stays as received, counted as held, and is parsed when requests were answered.

The two tests failed before (5,001 requests queued; nothing held) and pass now.

--- a/src/currantcart/proxy/callers/caller.py
+++ b/src/currantcart/proxy/callers/caller.py
@@ -61,6 +61,9 @@
       active_at: When bytes were last received or answers written.
       paused: Whether reading is paused.
       write_paused: Whether the write buffer is full.
+      unread: Received bytes that are not parsed while too many requests are
+        queued.
+      is_read_due: Whether `unread` is about to be parsed.
       unsent: Bytes of answers in a full write buffer, as last counted.
       closing: Whether the connection is closing, and reads no more.
     """
@@ -78,11 +81,14 @@
             new_exchange=lambda: exchange_module.Exchange(self),
             add_exchange=self.add_exchange,
             send_continue=lambda: self.write(CONTINUE),
+            has_room=lambda: len(self.exchanges) < PIPELINED_MAX,
         )
         self.transport: asyncio.Transport | None = None
         self.active_at = owner.context.now
         self.paused = False
         self.write_paused = False
+        self.unread = b""
+        self.is_read_due = False
         self.unsent = 0
         self.closing = False
 
@@ -109,15 +115,34 @@
         if self.closing:
             return
         self.active_at = self.context.now
+        self.read(self.unread + data if self.unread else data)
+
+    def read(self, data: bytes) -> None:
+        """Parses bytes, and starts the requests that may start."""
         try:
-            self.reader.feed(data)
+            self.keep_unread(self.reader.feed(data))
         except request_reader.ParseError as error:
             self.context.log.event(
                 "request_unreadable", code=error.code, detail=error.detail
             )
+            self.keep_unread(b"")
             self.reject_connection(error.status, error.code)
         self.start_exchanges()
 
+    def read_unread(self) -> None:
+        """Parses what was left unread while too many requests were queued."""
+        self.is_read_due = False
+        if not self.closing and self.unread:
+            self.read(self.unread)
+
+    def keep_unread(self, data: bytes) -> None:
+        """Keeps bytes to parse them later, and counts them as held."""
+        if not data and not self.unread:
+            return
+        self.context.held.release(len(self.unread))
+        self.context.held.hold(len(data))
+        self.unread = data
+
     def add_exchange(self, exchange: exchange_module.Exchange) -> None:
         """Adds a request whose head is complete."""
         self.exchanges.append(exchange)
@@ -145,7 +170,11 @@
 
     def apply_backpressure(self) -> None:
         """Pauses reading while too many requests or answers are queued."""
-        pause = len(self.exchanges) >= PIPELINED_MAX or self.write_paused
+        is_full = len(self.exchanges) >= PIPELINED_MAX or self.write_paused
+        if self.unread and not is_full and not self.is_read_due:
+            self.is_read_due = True
+            self.context.loop.call_soon(self.read_unread)
+        pause = is_full or bool(self.unread)
         if not self.open or pause == self.paused:
             return
         assert self.transport is not None
@@ -244,6 +273,7 @@
 
     def cancel_exchanges(self) -> None:
         """Cancels the open requests, and releases their memory."""
+        self.keep_unread(b"")
         exchanges, self.exchanges = self.exchanges, collections.deque()
         for exchange in exchanges:
             self.context.held.release(exchange.held)
--- a/src/currantcart/proxy/callers/request_reader.py
+++ b/src/currantcart/proxy/callers/request_reader.py
@@ -14,6 +14,13 @@
 from currantcart.proxy.requests import intake
 
 MEMORY_RETRY_MS = 500.0
+HEAD_PART_BYTES = 4 * 1024
+"""Bytes that are parsed at once where heads are expected.
+
+A request of a few bytes costs many times its size in memory once it is parsed.
+"""
+BODY_PART_BYTES = 16 * 1024
+"""The same within a body."""
 
 
 class ParseError(Exception):
@@ -53,6 +60,7 @@
         new_exchange: Callable[[], exchange_module.Exchange],
         add_exchange: Callable[[exchange_module.Exchange], None],
         send_continue: Callable[[], None],
+        has_room: Callable[[], bool],
     ) -> None:
         """Initializes the reader.
 
@@ -63,6 +71,7 @@
           new_exchange: Returns the exchange for a new request.
           add_exchange: Adds an exchange whose head is complete.
           send_continue: Sends 100 Continue to the caller.
+          has_room: Returns whether further requests may be parsed.
         """
         self.context = context
         self.limits = limits
@@ -70,6 +79,7 @@
         self.new_exchange = new_exchange
         self.add_exchange = add_exchange
         self.send_continue = send_continue
+        self.has_room = has_room
         self.parser = httptools.HttpRequestParser(self)
         self.reading: exchange_module.Exchange | None = None
         self.head_started_at = 0.0
@@ -82,23 +92,37 @@
         self.framing = framing_limit.FramingLimit()
         self.completed = 0
 
-    def feed(self, data: bytes) -> None:
-        """Parses received bytes.
+    def feed(self, data: bytes) -> bytes:
+        """Parses received bytes for as long as there is room for requests.
+
+        Returns:
+          The bytes that were not parsed.
 
         Raises:
           ParseError: They are not a valid request, or exceed a limit.
         """
+        if not self.has_room():
+            return data
         if self.head_started_at == 0.0 and self.reading is None:
             self.head_started_at = self.context.now
+        start = 0
         try:
-            for part in framing_limit.parts(data):
-                self.feed_part(part)
+            while start < len(data) and self.has_room():
+                end = start + self.part_bytes()
+                self.feed_part(data[start:end])
+                start = end
         except httptools.HttpParserUpgrade as error:
             raise ParseError(
                 400, "upgrade_unsupported", "protocol upgrade requested"
             ) from error
         except httptools.HttpParserError as error:
             raise ParseError(*self.error_status(), str(error)) from error
+        return data[start:]
+
+    def part_bytes(self) -> int:
+        """Returns how many bytes are parsed before limits are checked."""
+        is_in_body = self.reading is not None and self.head_done
+        return BODY_PART_BYTES if is_in_body else HEAD_PART_BYTES
 
     def feed_part(self, part: bytes) -> None:
         """Parses a part of the received bytes.
--- a/tests/proxy/callers/test_callers.py
+++ b/tests/proxy/callers/test_callers.py
@@ -412,3 +412,49 @@
         reply = await caller.reply()
     assert reply.status == 502
     assert not place.node.outbound.calls
+
+
+async def test_flood_of_small_requests_is_parsed_as_they_are_answered(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """Guards against memory that a pipeline of short requests exhausts."""
+    place = await start_place(mesh)
+    held: list[http_target.Seen] = []
+    place.target.script = held.append
+    caller = await mesh.connect(place)
+    count = 5_000
+    caller.send(
+        fake_mesh.request("/pay/1", method="POST")
+        + b"GET / HTTP/1.1\r\nHost: x\r\n\r\n" * count
+    )
+    await mesh.settle(0.2)
+    (connection,) = place.node.callers.connections
+    assert len(connection.exchanges) < 200
+    assert connection.paused
+    unread = len(connection.unread)
+    assert place.node.context.held.held >= unread > 100_000
+    async with asyncio.timeout(20.0):
+        last = await caller.reply(count + 1)
+    assert last.status == 404
+    assert not connection.paused
+    assert place.node.context.held.held == 0
+    caller.leave()
+
+
+async def test_unread_requests_of_a_caller_that_left_are_released(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """Guards against bytes that stay on the account of a lost connection."""
+    place = await start_place(mesh)
+    place.target.script = fake_mesh.silent
+    caller = await mesh.connect(place)
+    caller.send(
+        fake_mesh.request("/pay/1", method="POST")
+        + b"GET / HTTP/1.1\r\nHost: x\r\n\r\n" * 5_000
+    )
+    await mesh.settle(0.2)
+    assert place.node.context.held.held > 0
+    caller.leave()
+    await mesh.settle(0.2)
+    assert place.node.context.held.held == 0
+    assert not place.node.callers.connections
