Bound what is read of a range of the store

Seen: looking for memory above the account of bodies. A range was read page by page without a bound: pages that repeat were read for ever, and the list of the nodes' entries kept every value of any size, though others may write there.

Fix: a range whose page ends with the key of the page before it, or that exceeds 32 MiB with more to come, is a failed read, which the callers retry. Among the nodes' entries a value above 64 KiB is returned empty; it is then logged as unreadable like any other.

Measured: the three tests failed before (no end within 5 s; 20 items of 1,000 bytes read under a bound of 10,000; a value of 900,000 bytes kept) and pass now.

--- a/src/currantcart/platform/store.py
+++ b/src/currantcart/platform/store.py
@@ -15,6 +15,10 @@
 from currantcart.store import leased, port
 
 TIMEOUT_SECONDS = 1.2
+RANGE_BYTES_MAX = 32 * held_bytes.MIB
+"""Size of keys and values up to which a range is read."""
+ENTRY_BYTES_MAX = 64 * 1024
+"""Size up to which the value of a node's entry is read."""
 # Statuses with which the store rejects a call before it takes effect.
 REJECTED_STATUSES = frozenset({429, 503})
 Body = TypeVar("Body")
@@ -69,6 +73,11 @@
     lease: int
 
 
+def base64_length(size: int) -> int:
+    """Returns the length of some bytes in Base64."""
+    return (size + 2) // 3 * 4
+
+
 def item_of(stored: StoredItem) -> leased.Item:
     """Converts an item of the store to the port's item.
 
@@ -251,17 +260,39 @@
         return await self.read_pages(prefix, stale=False)
 
     async def list(self, prefix: str, *, stale: bool) -> list[leased.Item]:
-        """Reads all keys with a prefix."""
-        return (await self.read_pages(prefix, stale=stale)).items
+        """Reads all keys with a prefix.
+
+        A value above `ENTRY_BYTES_MAX` is returned empty: a node's entry is
+        short, and others may have written to the same prefix.
+        """
+        found = await self.read_pages(
+            prefix, stale=stale, value_bytes_max=ENTRY_BYTES_MAX
+        )
+        return found.items
 
-    async def read_pages(self, prefix: str, *, stale: bool) -> leased.Range:
+    async def read_pages(
+        self,
+        prefix: str,
+        *,
+        stale: bool,
+        value_bytes_max: int = RANGE_BYTES_MAX,
+    ) -> leased.Range:
         """Reads all keys with a prefix, page by page.
 
         Pages are read one after the other, so the result holds as of the
         first one: a later change may be missing.
+
+        Args:
+          prefix: Prefix of the keys.
+          stale: Whether the store may return outdated items.
+          value_bytes_max: Size above which a value is returned empty.
+
+        Raises:
+          port.StoreOutcomeUnknown: The range exceeds `RANGE_BYTES_MAX`, or a
+            page ends with the same key as the one before it.
         """
         items: list[leased.Item] = []
-        as_of = 0
+        as_of = size = 0
         query = {"prefix": prefix}
         if stale:
             query["allow-stale"] = "1"
@@ -270,11 +301,21 @@
                 "GET", f"/currantcart/kv-range?{urllib.parse.urlencode(query)}"
             )
             page = self.read(response, Page)
-            items += map(item_of, page.items)
+            for stored in page.items:
+                if len(stored.value) > base64_length(value_bytes_max):
+                    stored.value = ""
+                items.append(item_of(stored))
+                size += len(stored.key) + len(items[-1].value)
             as_of = as_of or page.as_of
             if not page.has_more or not page.items:
                 return leased.Range(items, as_of)
-            query["after"] = page.items[-1].key
+            last = page.items[-1].key
+            if last == query.get("after") or size > RANGE_BYTES_MAX:
+                raise port.StoreOutcomeUnknown(
+                    f"range {prefix} doesn't end after {size} bytes",
+                    peer=self.peer,
+                )
+            query["after"] = last
 
     async def watch(
         self, prefix: str, *, after: int, wait_ms: float
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -275,3 +275,43 @@
     standin.fault = fault
     with pytest.raises(port.StoreOutcomeUnknown):
         await store.watch("op/", after=11, wait_ms=2_000)
+
+
+async def test_a_range_whose_pages_repeat_is_a_failed_read(
+    standin: key_value.KeyValueStandIn,
+    store: platform_store.KeyValueStore,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against pages without end, which fill the memory."""
+    standin.operate("n/1", b"x")
+    page = {"items": [standin.encoded("n/1")], "has-more": True}
+    monkeypatch.setattr(standin, "range", lambda *args: (200, page))
+    async with asyncio.timeout(5.0):
+        with pytest.raises(port.StoreOutcomeUnknown, match="doesn't end"):
+            await store.list("n/", stale=True)
+
+
+async def test_a_range_above_its_size_is_a_failed_read(
+    standin: key_value.KeyValueStandIn,
+    store: platform_store.KeyValueStore,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a range that does not fit into the memory."""
+    monkeypatch.setattr(platform_store, "RANGE_BYTES_MAX", 10_000)
+    standin.page_items = 2
+    for number in range(20):
+        standin.operate(f"op/{number:02}", b"x" * 1_000)
+    with pytest.raises(port.StoreOutcomeUnknown, match="doesn't end"):
+        await store.read_range("op/")
+
+
+async def test_a_long_value_among_entries_is_not_kept(
+    standin: key_value.KeyValueStandIn, store: platform_store.KeyValueStore
+) -> None:
+    """Guards against memory for what others write among the entries."""
+    standin.operate("n/1", b"x" * 100)
+    standin.operate("n/2", b"x" * 900_000)
+    items = await store.list("n/", stale=False)
+    assert [len(item.value) for item in items] == [100, 0]
+    found = await store.read_range("n/")
+    assert [len(item.value) for item in found.items] == [100, 900_000]
