Bound what a connection of probes or reports holds

Seen: looking for memory above the account of bodies. These connections were read however many of their requests waited for answers, each with a body of up to 256 KiB, and had no time-out: a sender that left without closing held its descriptor and its part of a request for good.

Fix: reading pauses while 16 requests are unanswered. A connection without a byte for 30 s and without an answer due is closed.

Measured: test_pipelined_reports_are_read_as_they_are_answered (still reading) and test_idle_connection_is_closed (still open) failed before and pass now.

--- a/src/currantcart/proxy/control.py
+++ b/src/currantcart/proxy/control.py
@@ -18,6 +18,14 @@
 
 BODY_BYTES_MAX = 256 * 1024
 HEAD_BYTES_MAX = 16 * 1024
+PIPELINED_MAX = 16
+"""Requests of a connection that wait for their answers while it is read."""
+IDLE_SECONDS = 30.0
+"""Time without a byte after which a connection without answers due is closed.
+
+A sender that has left without closing it would hold a descriptor, and the
+received part of a request, for ever.
+"""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,6 +57,9 @@
       parts: Parts of the body received so far.
       size: Bytes in `parts`.
       last: Task that answers the latest request; None before the first.
+      unanswered: Requests that were not answered yet.
+      active_at: When bytes were last received, in seconds of the loop.
+      timer: Closes the connection when it is idle.
     """
 
     def __init__(
@@ -62,19 +73,38 @@
         self.parts: list[bytes] = []
         self.size = 0
         self.last: asyncio.Task[None] | None = None
+        self.unanswered = 0
+        self.active_at = loop.time()
+        self.timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport."""
         # uvloop's transports are not subclasses of asyncio's.
         self.transport = cast(asyncio.Transport, transport)
+        self.timer = self.loop.call_later(IDLE_SECONDS, self.close_idle)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Discards the transport."""
         del exc
         self.transport = None
+        if self.timer is not None:
+            self.timer.cancel()
+
+    def close_idle(self) -> None:
+        """Closes the connection if it is idle; else checks it again later."""
+        if self.transport is None:
+            return
+        left = self.active_at + IDLE_SECONDS - self.loop.time()
+        if left <= 0.0 and not self.unanswered:
+            self.transport.close()
+            return
+        self.timer = self.loop.call_later(
+            left if left > 0.0 else IDLE_SECONDS, self.close_idle
+        )
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes; closes the connection if they are not HTTP."""
+        self.active_at = self.loop.time()
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -113,6 +143,10 @@
             self.url.decode("latin-1"),
             b"".join(self.parts),
         )
+        self.parts = []
+        self.unanswered += 1
+        if self.unanswered == PIPELINED_MAX and self.transport is not None:
+            self.transport.pause_reading()
         self.last = self.loop.create_task(
             self.answer(request, self.last, self.parser.should_keep_alive())
         )
@@ -142,8 +176,13 @@
             "\r\n".encode()
             + response.body,
         )
-        if not keep_alive and self.transport is not None:
+        self.unanswered -= 1
+        if self.transport is None or self.transport.is_closing():
+            return
+        if not keep_alive:
             self.transport.close()
+        elif self.unanswered == PIPELINED_MAX - 1:
+            self.transport.resume_reading()
 
     async def handle(self, request: ControlRequest) -> ControlResponse:
         """Returns the handler's response; 500 if the handler fails."""
