Keep no parts of a body beyond what a peer has announced

Seen: looking for memory above the account of bodies. The account holds the announced size of a peer's request. Further parts of its body were kept until the request had ended, on no account.

Fix: parts after the announced size are dropped.

Measured: test_parts_beyond_the_announced_body_are_not_kept failed before (1 MB kept) and passes now.

--- a/src/currantcart/proxy/targets/inbound.py
+++ b/src/currantcart/proxy/targets/inbound.py
@@ -41,10 +41,16 @@
     held: int = 0
 
     def add_chunk(self, chunk: bytes) -> None:
-        """Adds a part of the body; offers the request once it is complete."""
+        """Adds a part of the body; offers the request once it is complete.
+
+        Parts after that are more than the peer has announced. They are not on
+        the account, so they are not kept.
+        """
+        if self.missing <= 0:
+            return
         self.chunks.append(chunk)
         self.missing -= len(chunk)
-        if self.missing <= 0 and self.job is None:
+        if self.missing <= 0:
             self.opening.body = b"".join(self.chunks)
             self.chunks.clear()
             self.inbound.offer(self)
