Bound the label sets of histograms

Seen: looking for memory that grows over a long life. Counters hold at most 500 label sets and count others as `other`, as the page on operations says; histograms held one for each service that ever was.

Fix: histograms are bounded in the same way.

Measured: test_label_sets_of_histograms_are_bounded failed before (5,000 sets) and passes now.

--- a/src/currantcart/telemetry/counts.py
+++ b/src/currantcart/telemetry/counts.py
@@ -48,15 +48,25 @@
         """
         counter = self.counters[name]
         if labels not in counter and len(counter) >= LABEL_SETS_MAX:
-            labels = ("other",) * len(labels)
+            labels = others(labels)
         counter[labels] += 1
 
     def observe(self, name: str, thousandths: float, *labels: str) -> None:
-        """Records a latency in ms, or a ratio in thousandths."""
+        """Records a latency in ms, or a ratio in thousandths.
+
+        Labels are bounded as in `add`.
+        """
         buckets = definitions.buckets(name)
-        cells = self.histograms[name].get(labels)
+        known = self.histograms[name]
+        cells = known.get(labels)
         if cells is None:
-            cells = [0.0] * (len(buckets) + 2)
-            self.histograms[name][labels] = cells
+            if len(known) >= LABEL_SETS_MAX:
+                labels = others(labels)
+            cells = known.setdefault(labels, [0.0] * (len(buckets) + 2))
         cells[bisect.bisect_left(buckets, thousandths)] += 1
         cells[-1] += thousandths
+
+
+def others(labels: Labels) -> Labels:
+    """Returns the label set of what is counted together."""
+    return ("other",) * len(labels)
--- a/tests/telemetry/test_counts.py
+++ b/tests/telemetry/test_counts.py
@@ -25,6 +25,16 @@
     assert len(node_counts.counters["rejections"]) == counts.LABEL_SETS_MAX + 1
 
 
+def test_label_sets_of_histograms_are_bounded() -> None:
+    """Guards against memory that grows with names that come and go."""
+    node_counts = counts.Counts()
+    for number in range(5_000):
+        node_counts.observe("request_seconds", 7.0, f"service{number}")
+    found = node_counts.histograms["request_seconds"]
+    assert len(found) == counts.LABEL_SETS_MAX + 1
+    assert sum(found["other",]) - found["other",][-1] == 4_500
+
+
 async def test_node_exposes_its_state(mesh: fake_mesh.Mesh) -> None:
     place = await mesh.add("a")
     await mesh.settle()
