--- a/src/currantcart/proxy/serve.py
+++ b/src/currantcart/proxy/serve.py
@@ -208,7 +208,10 @@
         name=watch_settings.__qualname__,
     )
     if ready.settings.listen.metrics:
-        running.background.keep(functools.partial(serve_metrics, running))
+        running.background.keep(
+            functools.partial(serve_metrics, running),
+            name=serve_metrics.__qualname__,
+        )
     gc.collect()
     gc.freeze()
     gc.set_threshold(GC_YOUNG, GC_MIDDLE, GC_OLD)
