Entries: check addresses and ranges before they name a node

Seen: an entry of another writer without a port, with digits that are no decimal ones or with a name became a peer. Each attempt to dial it ended a task with SettingsError, ValueError or UnicodeError that nobody retrieved, or looked up the name. An entry of the node itself with the start of its target far in the future was restored, no report of the target was accepted from then on, and a request to it got 503.

Cause: addresses were split when a peer is dialled, after the peer had become state. The report in an entry was decoded without ranges, and an entry could name any instance whatever its key.

Change: an entry is read only if its values are within the bounds that apply to reports, its key is the one of its instance and its address is an IP address with a port from 1 to 65535; otherwise it is logged as `entry_unreadable` and the others hold. The same address check applies to the introduction on a stream, which is closed, and to the rows of a relay, of which that one is logged as `row_unreadable` and passed over.

--- a/src/currantcart/bounds.py
+++ b/src/currantcart/bounds.py
@@ -30,6 +30,7 @@
 UnixMs = Annotated[int, Meta(ge=0, le=UNIX_MS_MAX)]
 """Wall-clock time in milliseconds since 1970; 0 if unknown."""
 Seconds = Annotated[float, Meta(ge=0.0, le=SECONDS_MAX)]
+Milliseconds = Annotated[float, Meta(ge=0.0, le=SECONDS_MAX * 1_000.0)]
 RemainingSeconds = Annotated[float, Meta(ge=-SECONDS_MAX, le=SECONDS_MAX)]
 """Time until an event; negative after it."""
 Name = Annotated[str, Meta(max_length=NAME_CHARACTERS_MAX)]
@@ -50,7 +51,9 @@
     if not (port.isascii() and port.isdecimal()):
         return False
     try:
-        ipaddress.ip_address(host)
+        found = ipaddress.ip_address(host)
     except ValueError:
         return False
+    if found.version == 6 and found.scope_id is not None:
+        return False
     return len(port) <= len(str(PORT_MAX)) and 1 <= int(port) <= PORT_MAX
--- a/src/currantcart/fleet/target_record.py
+++ b/src/currantcart/fleet/target_record.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from currantcart import bounds
+
 
 class Phase(enum.StrEnum):
     """Life-cycle phase that a target reports."""
@@ -34,13 +36,13 @@
       cold_ms: Remaining time for which it is slow after its start.
     """
 
-    target_id: str
-    born: int
-    sequence: int
+    target_id: bounds.Identifier
+    born: bounds.UnixMs
+    sequence: bounds.Ordinal
     phase: Phase
-    service: str = ""
-    slots: int = 1
-    cold_ms: float = 0.0
+    service: bounds.Name = ""
+    slots: bounds.Slots = 1
+    cold_ms: bounds.Milliseconds = 0.0
 
 
 class TargetRecord:
--- a/src/currantcart/proxy/streams/frames.py
+++ b/src/currantcart/proxy/streams/frames.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from currantcart import decoding, errors
+from currantcart import bounds, decoding, errors
 
 CHUNK_BYTES = 64 * 1024
 
@@ -22,11 +22,16 @@
       failure_domain: Failure domain that it runs in.
     """
 
-    instance: str
-    process: str
-    address: str
-    service: str
-    failure_domain: str
+    instance: bounds.Name
+    process: bounds.Name
+    address: bounds.Name
+    service: bounds.Name
+    failure_domain: bounds.Name
+
+    @property
+    def is_dialable(self) -> bool:
+        """Whether the address can be dialled without a look-up."""
+        return bounds.is_address(self.address)
 
 
 class TargetState(msgspec.Struct, array_like=True):
--- a/src/currantcart/proxy/streams/link.py
+++ b/src/currantcart/proxy/streams/link.py
@@ -303,13 +303,16 @@
         """Records the peer's introduction and reports it to the owner.
 
         Raises:
-          errors.StreamError: The peer's protocol version is unsupported.
+          errors.StreamError: The peer's protocol version is unsupported, or
+            its address cannot be dialled.
         """
         if hello.protocol != PROTOCOL:
             raise errors.StreamError(
                 errors.Code.VERSION_UNSUPPORTED,
                 f"unsupported protocol version {hello.protocol}",
             )
+        if not hello.member.is_dialable:
+            raise frames.invalid("address is not IP:PORT")
         self.peer = hello.member
         crosses_domains = (
             hello.member.failure_domain != self.owner.member.failure_domain
--- a/src/currantcart/proxy/streams/registration.py
+++ b/src/currantcart/proxy/streams/registration.py
@@ -207,12 +207,21 @@
     def decode(self, item: leased.Item) -> Entry | None:
         """Decodes an entry; returns None and logs it if it is malformed."""
         try:
-            return ENTRY.decode(item.value)
+            entry = ENTRY.decode(item.value)
         except decoding.ERRORS as error:
-            self.context.log.event(
-                "entry_unreadable", key=item.key, detail=str(error)
-            )
+            self.log_unreadable(item, str(error))
+            return None
+        if item.key != self.prefix + entry.member.instance:
+            self.log_unreadable(item, "entry of another instance")
             return None
+        if not entry.member.is_dialable:
+            self.log_unreadable(item, "address is not IP:PORT")
+            return None
+        return entry
+
+    def log_unreadable(self, item: leased.Item, detail: str) -> None:
+        """Logs an entry that names no node."""
+        self.context.log.event("entry_unreadable", key=item.key, detail=detail)
 
     async def try_call(self, work: Awaitable[object]) -> bool:
         """Makes calls to the store, and records whether it is reachable.
--- a/src/currantcart/proxy/streams/relay.py
+++ b/src/currantcart/proxy/streams/relay.py
@@ -644,6 +644,11 @@
                 return True
             if not row.complete:
                 return False
+            if not row.member.is_dialable:
+                self.context.log.event(
+                    "row_unreadable", detail="address is not IP:PORT"
+                )
+                return True
             peer = self.identify(row.member, item)
             if peer is None:
                 return True
--- a/tests/proxy/streams/test_registration.py
+++ b/tests/proxy/streams/test_registration.py
@@ -1,12 +1,120 @@
-"""A node's entry in the store: what a start finds of the process before."""
+"""Entries in the store: of the own process before, and of other writers."""
 
 from __future__ import annotations
 
+import asyncio
+import gc
+import json
+from typing import Any
+
 import msgspec
+import pytest
 
+from currantcart.platform import names
 from currantcart.proxy.streams import registration
 from tests.fakes import mesh as fake_mesh
 
+ODD_ADDRESSES = [
+    "10.0.0.9:99999999",
+    "10.0.0.9:0",
+    "10.0.0.9",
+    "10.0.0.9:" + "9" * 400,
+    "a" * 70 + ".example:80",
+    "peer.example:80",
+    "10.0.0.9:\u00b2",
+    "",
+]
+
+
+def entry(instance: str = "odd", **target: Any) -> bytes:
+    """Returns the entry of a node with a report of its target."""
+    report = {
+        "target_id": "t-odd",
+        "born": 1_000,
+        "sequence": 1,
+        "phase": "ready",
+        "service": "grades",
+        "slots": 20,
+        "cold_ms": 0.0,
+        **target,
+    }
+    member = [instance, "p9", "10.0.0.9:7000", "grades", "a"]
+    return json.dumps({"member": member, "target": report}).encode()
+
+
+def escaped() -> list[dict[str, Any]]:
+    """Returns a list of the exceptions that nobody handles from now on."""
+    found: list[dict[str, Any]] = []
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda _, context: found.append(context))
+    return found
+
+
+@pytest.mark.parametrize(
+    "address",
+    ODD_ADDRESSES,
+    ids=["large", "zero", "none", "digits", "long", "name", "sign", "empty"],
+)
+async def test_an_entry_whose_address_cannot_be_dialled_is_skipped(
+    mesh: fake_mesh.Mesh, address: str
+) -> None:
+    """Guards against look-ups, and tasks that end with an exception."""
+    found = escaped()
+    key = f"{names.NODES_PREFIX}odd"
+    member = ["odd", "p9", address, "grades", "a"]
+    mesh.store.operate(key, json.dumps({"member": member}).encode())
+    front = await mesh.add("a", service="other")
+    await mesh.add("b")
+    await mesh.settle(5.0)
+    gc.collect()
+    assert not found
+    assert list(front.node.peers.by_instance) == ["b"]
+    lines = [line for line in mesh.lines if "event=entry_unreadable" in line]
+    assert f"key={key}" in lines[0]
+    assert (await mesh.ask(front, fake_mesh.request())).status == 200
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        entry(born=10**30),
+        entry(sequence=10**400),
+        entry(slots=-1),
+        entry(cold_ms=1e308),
+        entry(target_id="t\r\nx: 1"),
+        entry(instance="c"),
+        entry(instance="n" * 100_000),
+    ],
+    ids=["born", "sequence", "slots", "cold", "id", "another", "long"],
+)
+async def test_an_entry_out_of_range_is_skipped(
+    mesh: fake_mesh.Mesh, value: bytes
+) -> None:
+    """Guards against a peer that no node has announced."""
+    mesh.store.operate(f"{names.NODES_PREFIX}odd", value)
+    front = await mesh.add("a", service="other")
+    await mesh.add("b")
+    await mesh.settle(5.0)
+    assert list(front.node.peers.by_instance) == ["b"]
+    assert front.node.peers.by_instance["b"].member.process != "p9"
+    assert (await mesh.ask(front, fake_mesh.request())).status == 200
+
+
+async def test_the_own_entry_out_of_range_is_not_restored(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """Guards against a target that no later report supersedes."""
+    place = await mesh.add("a")
+    await mesh.settle()
+    mesh.kill(place)
+    key = f"{names.NODES_PREFIX}a"
+    mesh.store.operate(key, entry("a", born=10**30, phase="left"))
+    await mesh.restart(place)
+    await mesh.settle()
+    assert await mesh.report(place) == 200
+    assert await mesh.report(place) == 200
+    assert (await mesh.ask(place, fake_mesh.request())).status == 200
+
 
 def logged(mesh: fake_mesh.Mesh) -> list[str]:
     return [line for line in mesh.lines if "event=previous_process " in line]
--- a/tests/proxy/streams/test_relay.py
+++ b/tests/proxy/streams/test_relay.py
@@ -398,6 +398,30 @@
     assert digest_stream(places["a12"], "a00").transport is not None
 
 
+async def test_a_row_whose_address_cannot_be_dialled_adds_no_peer(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """Guards against look-ups, and tasks that end with an exception."""
+    places = await fleet(mesh)
+    peers = places["a12"].node.peers
+    item = digest_stream(places["a12"], "a00")
+    row = frames.Row(
+        frames.Member("a99", "p99", "10.0.0.99:99999999", "grades", "a"),
+        1_000.0,
+        2,
+        0.0,
+        frames.TargetState(),
+        {},
+        7,
+        complete=True,
+    )
+    peers.handle_digest(
+        item, frames.Digest(mesh.clock.now(), "a", 100.0, [row])
+    )
+    assert "a99" not in peers.by_instance
+    assert item.transport is not None
+
+
 # Starts and ends.
 
 
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -35,6 +35,7 @@
         "10.0.0.1 :80",
         "name.example:80",
         "a" * 70 + ".example:80",
+        "fe80::1%name:80",
         "http://10.0.0.1:80",
     ],
 )
