Targets' answers: pass over numbers that are no time and no rate

Seen: a health answer that states a warm-up of `inf`, `nan` or 1e308 ms was taken; with `inf` the target is cold for ever, and the time is sent to all peers. A `Keep-Alive` with `inf`, `nan`, a negative time or 400 digits replaced the idle time-out that is assumed without one: such connections were reused however long they had been idle, or never. A limit of 1e308 requests per second was taken as one.

Cause: `float` reads more than the numbers that these headers may hold.

Change: `bounds.parse_number` reads a number within a range, and the three use it. A warm-up that is unreadable leaves the assumed one, which ends by itself.

--- a/src/currantcart/http1/pool.py
+++ b/src/currantcart/http1/pool.py
@@ -15,7 +15,7 @@
 
 import httptools
 
-from currantcart import held_bytes
+from currantcart import bounds, held_bytes
 from currantcart.http1 import framing_limit
 from currantcart.http1 import status as status_module
 from currantcart.http1 import transport as stream
@@ -180,10 +180,8 @@
     for part in value.split(b","):
         name, _, number = part.strip().partition(b"=")
         if name.strip().lower() == b"timeout":
-            try:
-                return float(number) * 1_000
-            except ValueError:
-                return 0.0
+            seconds = bounds.parse_number(number, maximum=bounds.SECONDS_MAX)
+            return (seconds or 0.0) * 1_000
     return 0.0
 
 
--- a/src/currantcart/proxy/targets/cold_check.py
+++ b/src/currantcart/proxy/targets/cold_check.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 
+from currantcart import bounds
 from currantcart.http1 import pool
 from currantcart.proxy import context as proxy_context
 
@@ -81,10 +82,12 @@
         stated = fields.get(keys.cold)
         if stated is None and response.status != HEALTHY:
             return
-        try:
-            cold_ms = float(stated or 0.0)
-        except ValueError:
+        cold_ms = bounds.parse_number(
+            stated or b"0", minimum=-bounds.FLOAT_MAX, maximum=bounds.FLOAT_MAX
+        )
+        if cold_ms is None:
             self.context.log.event("cold_unreadable", value=repr(stated)[:40])
             return
+        cold_ms = max(0.0, cold_ms)
         self.context.log.event("cold_known", target=target_id, cold_ms=cold_ms)
         self.on_known(cold_ms)
--- a/src/currantcart/proxy/targets/statements.py
+++ b/src/currantcart/proxy/targets/statements.py
@@ -4,6 +4,7 @@
 
 import math
 
+from currantcart import bounds
 from currantcart.proxy import context as proxy_context
 from currantcart.proxy.targets import job as job_module
 
@@ -54,11 +55,8 @@
 
     def record_limit(self, job: job_module.Job, stated: bytes) -> None:
         """Records a stated limit, unless it is no valid number."""
-        try:
-            limit = float(stated)
-        except ValueError:
-            limit = math.nan
-        if not 0.0 <= limit < math.inf:
+        limit = bounds.parse_number(stated, maximum=bounds.FLOAT_MAX)
+        if limit is None:
             self.log("target_limit_unreadable", job, value=repr(stated)[:40])
             return
         self.limited_at = self.context.now
--- a/tests/http1/test_pool.py
+++ b/tests/http1/test_pool.py
@@ -151,6 +151,10 @@
         ("Keep-Alive: timeout=10\r\n", 4_900.0, True),
         ("Keep-Alive: timeout=10\r\n", 5_100.0, False),
         ("Keep-Alive: timeout=soon\r\n", 2_100.0, False),
+        ("Keep-Alive: timeout=inf\r\n", 2_100.0, False),
+        ("Keep-Alive: timeout=nan\r\n", 2_100.0, False),
+        ("Keep-Alive: timeout=-1\r\n", 1_900.0, True),
+        (f"Keep-Alive: timeout={'9' * 400}\r\n", 2_100.0, False),
     ],
 )
 def test_idle_connection_is_reused_well_within_its_time_out_only(
--- a/tests/proxy/targets/test_cold_targets.py
+++ b/tests/proxy/targets/test_cold_targets.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import math
+
 import msgspec
 import pytest
 
 from currantcart.platform import names
 from currantcart.proxy import settings as proxy_settings
+from currantcart.proxy.targets import warm_up
 from tests.fakes import load as load_module
 from tests.fakes import mesh as fake_mesh
 
@@ -212,6 +215,25 @@
     assert 0 < most_in_a_second(arrivals) <= BOUND
 
 
+@pytest.mark.parametrize("stated_ms", [math.nan, math.inf, 1e308])
+async def test_a_warm_up_that_is_no_time_changes_nothing(
+    mesh: fake_mesh.Mesh, stated_ms: float
+) -> None:
+    """Guards against a target that is cold for ever, as its peers see it."""
+    configure(mesh)
+    front = await mesh.add("b1", domain="b", service="other")
+    place = await mesh.add("a1", domain="a")
+    await mesh.settle(2.0)
+    place.target.cold_ms = stated_ms
+    await mesh.restart(place)
+    await mesh.settle(0.4)
+    assert any("event=cold_unreadable" in line for line in mesh.lines)
+    assert place.node.guard.warm_up.remaining_ms() <= warm_up.ASSUMED_COLD_MS
+    await mesh.settle(4.0)
+    assert place.node.guard.warm_up.remaining_ms() == 0.0
+    assert (await mesh.ask(front, fake_mesh.request())).status == 200
+
+
 @pytest.mark.parametrize("restarted", ["a", "ab"])
 async def test_a_restarted_node_uses_a_warm_target_without_its_report(
     mesh: fake_mesh.Mesh, restarted: str
--- a/tests/proxy/targets/test_statements.py
+++ b/tests/proxy/targets/test_statements.py
@@ -48,7 +48,9 @@
     assert "currantcart_target_requests_total 1.0" in metrics
 
 
-@pytest.mark.parametrize("value", [b"", b"many", b"-1", b"nan", b"inf"])
+@pytest.mark.parametrize(
+    "value", [b"", b"many", b"-1", b"nan", b"inf", b"1e308", b"9" * 400]
+)
 async def test_an_unreadable_limit_changes_nothing(
     mesh: fake_mesh.Mesh, value: bytes
 ) -> None:
