Store: bound the numbers of its answers, and the pages of a range

Seen: negative revisions, leases and those beyond 64 bits were taken, which later calls and frames cannot carry. A lease of 0 counts as none, so that each write would create another.

Cause: answers were checked for their types alone, and a read ended only by an answer that says so.

Change: revisions and leases are numbers of 63 bits, a lease at least 1; a read of a range ends with an unknown outcome if a page ends where an earlier one did and after 200 pages (of some 500 items).

With the change all cases of the module pass.

--- a/src/currantcart/platform/store.py
+++ b/src/currantcart/platform/store.py
@@ -5,12 +5,12 @@
 import asyncio
 import base64
 import urllib.parse
-from typing import TypeVar
+from typing import Annotated, TypeVar
 
 import msgspec
 
+from currantcart import bounds, decoding, held_bytes
 from currantcart import clock as clock_module
-from currantcart import decoding, held_bytes
 from currantcart.http1 import pool
 from currantcart.store import leased, port
 
@@ -19,6 +19,8 @@
 """Size of keys and values up to which a range is read."""
 ENTRY_BYTES_MAX = 64 * 1024
 """Size up to which the value of a node's entry is read."""
+PAGES_MAX = 200
+"""Pages of a range, of some 500 items or 1 MB each."""
 # Statuses with which the store rejects a call before it takes effect.
 REJECTED_STATUSES = frozenset({429, 503})
 Body = TypeVar("Body")
@@ -29,9 +31,9 @@
 
     key: str
     value: str = ""
-    revision: int = 0
-    as_of: int = 0
-    lease: int = 0
+    revision: bounds.Ordinal = 0
+    as_of: bounds.Ordinal = 0
+    lease: bounds.Ordinal = 0
 
 
 class Event(msgspec.Struct):
@@ -44,13 +46,13 @@
     """The answer to a watch."""
 
     events: list[Event]
-    as_of: int
+    as_of: bounds.Ordinal
 
 
 class Written(msgspec.Struct):
     """The answer to a transaction that took effect."""
 
-    revision: int
+    revision: bounds.Ordinal
 
 
 class Present(msgspec.Struct):
@@ -64,13 +66,13 @@
 
     items: list[StoredItem]
     has_more: bool = False
-    as_of: int = 0
+    as_of: bounds.Ordinal = 0
 
 
 class Lease(msgspec.Struct):
     """The answer to the creation of a lease."""
 
-    lease: int
+    lease: Annotated[int, msgspec.Meta(ge=1, le=bounds.INT64_MAX)]
 
 
 def base64_length(size: int) -> int:
@@ -288,15 +290,18 @@
           value_bytes_max: Size above which a value is returned empty.
 
         Raises:
-          port.StoreOutcomeUnknown: The range exceeds `RANGE_BYTES_MAX`, or a
-            page ends with the same key as the one before it.
+          port.StoreUnavailable: A page could not be read.
+          port.StoreOutcomeUnknown: A page could not be read, ends where an
+            earlier one did, or is the last of too many, or the range exceeds
+            `RANGE_BYTES_MAX`.
         """
         items: list[leased.Item] = []
         as_of = size = 0
+        ends: set[str] = set()
         query = {"prefix": prefix}
         if stale:
             query["allow-stale"] = "1"
-        while True:
+        for _ in range(PAGES_MAX):
             response = await self.call(
                 "GET", f"/currantcart/kv-range?{urllib.parse.urlencode(query)}"
             )
@@ -309,13 +314,14 @@
             as_of = as_of or page.as_of
             if not page.has_more or not page.items:
                 return leased.Range(items, as_of)
-            last = page.items[-1].key
-            if last == query.get("after") or size > RANGE_BYTES_MAX:
-                raise port.StoreOutcomeUnknown(
-                    f"range {prefix} doesn't end after {size} bytes",
-                    peer=self.peer,
-                )
-            query["after"] = last
+            after = page.items[-1].key
+            if after in ends or size > RANGE_BYTES_MAX:
+                break
+            ends.add(after)
+            query["after"] = after
+        raise port.StoreOutcomeUnknown(
+            f"range {prefix} doesn't end after {size} bytes", peer=self.peer
+        )
 
     async def watch(
         self, prefix: str, *, after: int, wait_ms: float
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from typing import Any
 
 import pytest
 
@@ -315,3 +316,83 @@
     assert [len(item.value) for item in items] == [100, 0]
     found = await store.read_range("n/")
     assert [len(item.value) for item in found.items] == [100, 900_000]
+
+
+NUMBERS_OUT_OF_RANGE = [-1, 2**63, 10**400, 1.5, "1", None, True]
+
+
+def item(**values: Any) -> dict[str, Any]:
+    """Returns an item as the store answers it, with some values."""
+    return {"key": "n/1", "value": "eA==", "revision": 1, **values}
+
+
+@pytest.mark.parametrize(
+    "number", NUMBERS_OUT_OF_RANGE, ids=lambda n: repr(n)[:20]
+)
+async def test_an_answer_with_a_number_out_of_range_is_unknown(
+    standin: key_value.KeyValueStandIn,
+    store: platform_store.KeyValueStore,
+    monkeypatch: pytest.MonkeyPatch,
+    number: object,
+) -> None:
+    """Guards against numbers that later calls and frames cannot carry."""
+    calls = [
+        (item(revision=number), store.get("n/1")),
+        (item(lease=number), store.get("n/1")),
+        (item(**{"as-of": number}), store.get("n/1")),
+        ({"items": [item(revision=number)]}, store.list("n/", stale=True)),
+        ({"items": [], "as-of": number}, store.read_range("n/")),
+        ({"revision": number}, store.put("n/1", b"", lease=1, expected=0)),
+        ({"lease": number}, store.grant(ttl_ms=30_000)),
+    ]
+    for answer, call in calls:
+        monkeypatch.setattr(standin, "handle", lambda *_, a=answer: (200, a))
+        with pytest.raises(port.StoreOutcomeUnknown):
+            await call
+    watched = {"events": [], "as-of": number}
+    monkeypatch.setattr(standin, "changes", lambda *_: (200, watched))
+    with pytest.raises(port.StoreOutcomeUnknown):
+        await store.watch("n/", after=1, wait_ms=1_000)
+
+
+async def test_a_lease_without_a_number_is_unknown(
+    standin: key_value.KeyValueStandIn,
+    store: platform_store.KeyValueStore,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a new lease for each write, as 0 stands for none."""
+    monkeypatch.setattr(standin, "handle", lambda *_: (200, {"lease": 0}))
+    with pytest.raises(port.StoreOutcomeUnknown):
+        await store.grant(ttl_ms=30_000)
+
+
+async def test_a_range_whose_pages_do_not_advance_ends(
+    standin: key_value.KeyValueStandIn,
+    store: platform_store.KeyValueStore,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a read that takes all memory, and never ends."""
+    page = {"items": [item()], "has-more": True, "as-of": 5}
+    monkeypatch.setattr(standin, "handle", lambda *_: (200, page))
+    async with asyncio.timeout(60.0):
+        with pytest.raises(port.StoreOutcomeUnknown):
+            await store.read_range("n/")
+    assert len(standin.calls) == 2
+
+
+async def test_a_range_of_too_many_pages_ends(
+    standin: key_value.KeyValueStandIn,
+    store: platform_store.KeyValueStore,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a read that takes all memory, and never ends."""
+
+    def answer(*_: object) -> tuple[int, object]:
+        key = f"n/{len(standin.calls)}"
+        return 200, {"items": [item(key=key)], "has-more": True}
+
+    monkeypatch.setattr(standin, "handle", answer)
+    async with asyncio.timeout(60.0):
+        with pytest.raises(port.StoreOutcomeUnknown):
+            await store.list("n/", stale=True)
+    assert len(standin.calls) == platform_store.PAGES_MAX
