Configuration: refuse one that a node cannot serve or pass on

Seen: versions of 400 digits, negative weights, limits and rates, times of 1e308 s (infinite in milliseconds) and names with CR LF, which are written into headers, were taken. A document with a field name that is no UTF-8 raised a DecodeError out of `parse`, which handles errors of the project alone: the read of the store that brought it ended with it.

Cause: a document was checked for its types alone, and its unknown fields were listed outside the handler of errors.

Change: the records of a document use the bounds of other values; fields are listed within the handler. One value out of range makes the document invalid, and the former one stays. What the store's operators may leave out or set to zero is valid as before.

Evidence: on the code before, 21 of the 22 invalid documents of test_config failed their test. With the change all cases of the module pass.

--- a/src/currantcart/bounds.py
+++ b/src/currantcart/bounds.py
@@ -43,6 +43,8 @@
 Moment = Annotated[float, Meta(le=FLOAT_MAX)]
 """Time on a clock; negative infinity before the first event."""
 Name = Annotated[str, Meta(max_length=NAME_CHARACTERS_MAX)]
+Printable = Annotated[str, Meta(pattern=r"\A[^\x00-\x1f\x7f]*\Z")]
+"""Text without control characters, which may be a part of a header line."""
 Identifier = Annotated[
     str,
     Meta(
--- a/src/currantcart/platform/config.py
+++ b/src/currantcart/platform/config.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from currantcart import decoding, errors
+from currantcart import bounds, decoding, errors
 from currantcart.catalog import model
 
 MS = 1_000.0
@@ -40,7 +40,7 @@
     """A service in a traffic split."""
 
     service: str
-    weight: float
+    weight: bounds.Amount
 
 
 class RouteRecord(msgspec.Struct, rename="kebab"):
@@ -52,10 +52,10 @@
     kind: str = "non_idempotent"
     service: str | None = None
     traffic_split: list[SplitPart] | None = None
-    timeout_s: float = NEVER_MS / MS
-    target_latency_s: float = 1.0
-    max_attempts: int = 1
-    priority: int = model.PRIORITY_DEFAULT
+    timeout_s: bounds.Seconds = NEVER_MS / MS
+    target_latency_s: bounds.Seconds = 1.0
+    max_attempts: bounds.Count = 1
+    priority: bounds.Integer = model.PRIORITY_DEFAULT
     auth_exempt: bool = False
 
 
@@ -63,35 +63,35 @@
     """A service in the document."""
 
     name: str
-    max_connections: int = 100
-    cold_start_s: float = 0.0
-    cold_per_s: float = 0.0
-    health_path: str = ""
+    max_connections: bounds.Count = 100
+    cold_start_s: bounds.Seconds = 0.0
+    cold_per_s: bounds.Amount = 0.0
+    health_path: bounds.Printable = ""
 
 
 class TenantRecord(msgspec.Struct, rename="kebab"):
     """A tenant in the document; the catalog's workspace."""
 
-    name: str
+    name: bounds.Printable
     api_keys: list[str] = []
-    priority: int | None = None
-    rate_per_s: float = 0.0
-    burst_size: float = 0.0
+    priority: bounds.Integer | None = None
+    rate_per_s: bounds.Amount = 0.0
+    burst_size: bounds.Amount = 0.0
 
 
 class LimitsRecord(msgspec.Struct, rename="kebab", frozen=True):
     """Limits on clients' requests."""
 
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 64 * 1024 * 1024
-    header_timeout_s: float = 3.0
-    idle_timeout_s: float = 15.0
+    max_header_bytes: bounds.Count = 16_384
+    max_body_bytes: bounds.Count = 64 * 1024 * 1024
+    header_timeout_s: bounds.Seconds = 3.0
+    idle_timeout_s: bounds.Seconds = 15.0
 
 
 class Document(msgspec.Struct, rename="kebab"):
     """The complete document."""
 
-    version: int
+    version: bounds.Ordinal
     routes: Table
     services: Table
     tenants: Table | None = None
@@ -147,6 +147,7 @@
             list[TenantRecord],
             strict=False,
         )
+        unsupported_fields = unread_fields(text, document)
     except decoding.ERRORS as error:
         raise errors.CurrantcartError(
             errors.Code.SERVICES_INVALID, errors.Step.CONFIG, str(error)
@@ -182,7 +183,7 @@
             header_ms=limits.header_timeout_s * MS,
             idle_ms=limits.idle_timeout_s * MS,
         ),
-        unsupported_fields=unread_fields(text, document),
+        unsupported_fields=unsupported_fields,
     )
 
 
--- a/tests/platform/test_config.py
+++ b/tests/platform/test_config.py
@@ -83,3 +83,73 @@
     deep = b"[" * 50_000 + b"]" * 50_000
     with pytest.raises(errors.CurrantcartError):
         config.parse(b'{"x":' + deep + b"," + fake_mesh.document(7)[1:])
+
+
+def with_cell(table: str, column: str, value: object) -> bytes:
+    """Returns a document with another value in each row of a table."""
+    document = json.loads(fake_mesh.document(7))
+    content = document[table]
+    if column not in content["columns"]:
+        content["columns"].append(column)
+        content["rows"] = [[*row, None] for row in content["rows"]]
+    at = content["columns"].index(column)
+    for row in content["rows"]:
+        row[at] = value
+    return json.dumps(document).encode()
+
+
+LONG = 10**400
+OUT_OF_RANGE = {
+    "timeout": with_cell("routes", "timeout-s", 1e308),
+    "timeout-negative": with_cell("routes", "timeout-s", -1),
+    "timeout-text": with_cell("routes", "timeout-s", "nan"),
+    "latency": with_cell("routes", "target-latency-s", LONG),
+    "attempts": with_cell("routes", "max-attempts", -1),
+    "attempts-long": with_cell("routes", "max-attempts", LONG),
+    "priority": with_cell("routes", "priority", LONG),
+    "weight": with_cell(
+        "routes", "traffic-split", [{"service": "x", "weight": -1}]
+    ),
+    "connections": with_cell("services", "max-connections", -1),
+    "cold": with_cell("services", "cold-start-s", 1e308),
+    "cold-rate": with_cell("services", "cold-per-s", -1),
+    "health": with_cell("services", "health-path", "/h\r\nX-Other: 1"),
+    "tenant": with_cell("tenants", "name", "mill\r\nX-Other: 1"),
+    "rate": with_cell("tenants", "rate-per-s", "inf"),
+    "rate-negative": with_cell("tenants", "rate-per-s", -1),
+    "burst": with_cell("tenants", "burst-size", 1e308),
+    "version": changed(version=LONG),
+    "version-negative": changed(version=-1),
+    "body": changed(limits={"max-body-bytes": LONG}),
+    "head": changed(limits={"max-header-bytes": -1}),
+    "idle": changed(limits={"idle-timeout-s": 1e308}),
+    "field": fake_mesh.document(7).replace(b'"version"', b'"\xff":1,"version"'),
+}
+
+
+@pytest.mark.parametrize(
+    "document", OUT_OF_RANGE.values(), ids=list(OUT_OF_RANGE)
+)
+def test_a_document_with_a_value_out_of_range_is_invalid(
+    document: bytes,
+) -> None:
+    """Guards against a configuration that no node can serve or pass on."""
+    with pytest.raises(errors.CurrantcartError) as raised:
+        config.parse(document)
+    assert raised.value.code is errors.Code.SERVICES_INVALID
+
+
+@pytest.mark.parametrize(
+    "document",
+    [
+        changed(version=2**53 + 1),
+        with_cell("routes", "priority", -1),
+        with_cell("routes", "timeout-s", 0),
+        with_cell("tenants", "name", "m\u00fchle 7"),
+        with_cell("tenants", "rate-per-s", 0),
+        with_cell("services", "cold-per-s", None),
+    ],
+    ids=["version", "priority", "timeout", "name", "no-rate", "omitted"],
+)
+def test_a_document_at_the_end_of_a_range_is_valid(document: bytes) -> None:
+    assert config.parse(document).routes
