Give up the last write to the store before the grace period ends

Seen: with a store that answers nothing, a node whose requests lasted until the end of the grace period ended 6.52 s after the request to stop, where the process is killed after 6 s; its streams were not closed and no last line was written.

Cause: the pending change of the entry, of late always the mark of a requested end, is written last, and a call to the store may take 1.2 s, of the 0.7 s that are reserved for closing the node.

Fix: the write is given up after 0.4 s.

--- a/src/currantcart/proxy/streams/registration.py
+++ b/src/currantcart/proxy/streams/registration.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 from collections.abc import Awaitable, Callable
 
@@ -39,6 +40,8 @@
 
 It applies after more than `FAILURES_BEFORE_BACKOFF` failures in a row.
 """
+END_SECONDS_MAX = 0.4
+"""Longest last write; a part of the time reserved for closing the node."""
 WRITE_ATTEMPTS_MAX = 3
 """Attempts to write the entry when its content is not as expected."""
 
@@ -408,6 +411,13 @@
         return LIST_MS + LIST_MS_PER_PEER * count
 
     async def end(self) -> None:
-        """Writes pending changes of the entry for the next process."""
-        if self.dirty:
-            await self.try_write()
+        """Writes pending changes of the entry for the next process.
+
+        A store that doesn't answer must not keep the process until it is
+        killed, so the write is given up after `END_SECONDS_MAX`.
+        """
+        if not self.dirty:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(END_SECONDS_MAX):
+                await self.try_write()
--- a/tests/proxy/test_shutdown.py
+++ b/tests/proxy/test_shutdown.py
@@ -150,3 +150,22 @@
     ended_after = mesh.loop.time() - begin
     idle_seconds = shutdown.SERVE_CALLERS_MS / 1e3 + shutdown.TICK_SECONDS
     assert ended_after <= idle_seconds + STORE_SECONDS
+
+
+@pytest.mark.parametrize("work_seconds", [0.5, 60.0])
+async def test_a_silent_store_does_not_keep_a_process_past_its_grace(
+    mesh: fake_mesh.Mesh, work_seconds: float
+) -> None:
+    """Guards against processes that are killed while they end."""
+    place = await start_place(mesh)
+    place.target.work_seconds = work_seconds
+    running = await mesh.connect(place)
+    mesh.store.silent = True
+    began = mesh.loop.time()
+    draining = mesh.loop.create_task(place.node.drain())
+    await mesh.settle(1.7)
+    running.send(fake_mesh.request(deadline=20_000))
+    await draining
+    await place.node.stop()
+    grace_seconds = place.settings.bounds.grace_seconds
+    assert mesh.loop.time() - began < grace_seconds
