Forget the services of peers that are gone

Seen: looking for memory that grows over a long life. Of 650 peers with services of their own that came and went, a node kept an empty list of targets for each service, which each selection of streams goes through.

Fix: the list goes with its last target.

Measured: test_peers_that_are_gone_leave_nothing (5,000 peers) failed before (5,000 lists left) and passes now.

--- a/src/currantcart/proxy/streams/peers.py
+++ b/src/currantcart/proxy/streams/peers.py
@@ -238,7 +238,10 @@
         if self.by_instance.pop(peer.member.instance, None) is not None:
             self.relay.remove_name(peer.member)
         self.relay.remove_process(peer.member)
-        self.by_service[peer.member.service].remove(peer.target)
+        targets = self.by_service[peer.member.service]
+        targets.remove(peer.target)
+        if not targets:
+            del self.by_service[peer.member.service]
         self.invalidate_selection()
         if peer.dialling is not None:
             peer.dialling.cancel()
