--- a/tests/fakes/mesh.py
+++ b/tests/fakes/mesh.py
@@ -29,6 +29,7 @@
 SHARING_SECONDS = 15.0
 """Time after its start from which a node has a share of the retry slack."""
 WALL_MS = 1_700_000_000_000.0
+RESIDENT_BYTES = 40 * 1024 * 1024
 
 DEPLOYMENT = node.Deployment(
     operator_keys=config_feed.OperatorKeys(
@@ -318,7 +319,10 @@
                 loop=self.loop,
             ),
         )
-        return node.Node(context, store=self.store, deployment=DEPLOYMENT)
+        made = node.Node(context, store=self.store, deployment=DEPLOYMENT)
+        # The memory of the process that runs the tests says nothing of a node.
+        made.memory.read = lambda: RESIDENT_BYTES
+        return made
 
     async def start(self, place: Place) -> None:
         task = place.context.run(self.loop.create_task, self.begin(place))
