--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -13,6 +13,7 @@
 import signal
 import subprocess
 import sys
+import sysconfig
 import time
 from collections.abc import Callable, Coroutine
 
@@ -288,10 +289,15 @@
         """Starts the process of a node."""
         output = (self.folder / f"{instance.name}.log").open("ab")
         instance.process = subprocess.Popen(
-            [sys.executable, str(STARTER)],
+            [sys.executable, "-S", str(STARTER)],
             stdout=output,
             stderr=output,
-            env={**os.environ, "CURRANTCART_BOOT": str(instance.settings)},
+            env={
+                **os.environ,
+                "CURRANTCART_BOOT": str(instance.settings),
+                # Without its site module the interpreter does not find these.
+                "PYTHONPATH": sysconfig.get_path("purelib"),
+            },
         )
         output.close()
 
