Proxy: leave the place of a crash on standard error

Seen: a process that ends by SIGSEGV, SIGBUS, SIGFPE, SIGILL or SIGABRT in a compiled library leaves only its status.

Fix: `faulthandler` writes the Python lines that ran to standard error, which does not block, and the signal then ends the process as before. It costs one call at the start and nothing per request.

test_a_crash_in_a_library_leaves_its_place failed on the code before: no line was written.

--- a/src/currantcart/proxy/serve.py
+++ b/src/currantcart/proxy/serve.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import faulthandler
 import functools
 import gc
 import os
@@ -30,6 +31,7 @@
 SETTINGS_SECONDS = 1.0
 SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
 """Signals that the node handles."""
+STANDARD_INPUT, STANDARD_OUTPUT, STANDARD_ERROR = range(3)
 METRICS_POLL_SECONDS = 1.0
 METRICS_BACKLOG = 8
 EXIT_CUT = 1
@@ -286,16 +288,17 @@
     Otherwise a socket gets the number of one of them, and log lines are
     written into it. Output does not block: nobody may read it.
     """
-    for number in (0, 1, 2):
+    for number in (STANDARD_INPUT, STANDARD_OUTPUT, STANDARD_ERROR):
         try:
             os.fstat(number)
         except OSError:
             os.open(os.devnull, os.O_RDWR)
-    os.set_blocking(1, False)
-    os.set_blocking(2, False)
+    os.set_blocking(STANDARD_OUTPUT, False)
+    os.set_blocking(STANDARD_ERROR, False)
 
 
 def run(path: pathlib.Path) -> int:
     """Runs a node on a uvloop event loop and returns its exit status."""
     open_standard_streams()
+    faulthandler.enable(STANDARD_ERROR)
     return uvloop.run(serve(path))
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -419,3 +419,13 @@
         assert process.wait(WAIT_SECONDS_MAX) == 0
     os.close(reading)
     os.close(writing)
+
+
+def test_a_crash_in_a_library_leaves_its_place(tmp_path: pathlib.Path) -> None:
+    """A segmentation fault must be told from a kill, by more than a number."""
+    with started(write_settings(tmp_path)) as process:
+        read_until(process, "event=started")
+        process.send_signal(signal.SIGSEGV)
+        lines = read_until(process, "serve.py")
+        assert process.wait(WAIT_SECONDS_MAX) == -signal.SIGSEGV
+    assert any("Fatal Python error: Segmentation fault" in x for x in lines)
