Frames: close a stream on values that no node can mean

Seen: a status whose time is no number confirmed the configuration of the receiver as the newest, as `min(now, nan)` is now; one of infinity made the offset of the peer's clock infinite. Negative counts, starts and numbers of 64 bits became state. A request whose path is not Latin-1 ended the task that opens a connection to the target, and one with a space or a line break was written to the target as a request line that it cannot parse. A frame that failed in the encoder left its length on the stream, so that all frames behind it were read from the wrong place.

Cause: frames were checked for their types alone.

Change: the fields of frames use the bounds of other values. Ages and moments may be infinite where that stands for unknown; no number is never valid. A frame out of bounds is invalid as any other: the stream closes and the peer dials again. The writer takes back what it has written of a frame that fails.

--- a/src/currantcart/bounds.py
+++ b/src/currantcart/bounds.py
@@ -45,6 +45,11 @@
 Name = Annotated[str, Meta(max_length=NAME_CHARACTERS_MAX)]
 Printable = Annotated[str, Meta(pattern=r"\A[^\x00-\x1f\x7f]*\Z")]
 """Text without control characters, which may be a part of a header line."""
+Method = Annotated[str, Meta(max_length=32, pattern=r"\A[A-Z-]+\Z")]
+RequestTarget = Annotated[
+    str, Meta(pattern=r"\A[^\x00\r\n \u0100-\U0010ffff]+\Z")
+]
+"""Path and query of a request line, as Latin-1."""
 Identifier = Annotated[
     str,
     Meta(
--- a/src/currantcart/proxy/streams/frames.py
+++ b/src/currantcart/proxy/streams/frames.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Annotated
 
 import msgspec
 
@@ -10,6 +11,9 @@
 
 CHUNK_BYTES = 64 * 1024
 
+Fingerprint = Annotated[int, msgspec.Meta(ge=0)]
+"""Fingerprint of a request, of 64 bits."""
+
 
 class Member(msgspec.Struct, array_like=True, frozen=True):
     """A node's description of itself.
@@ -57,18 +61,18 @@
         without overload.
     """
 
-    target_id: str = ""
+    target_id: bounds.OptionalIdentifier = ""
     ready: bool = False
-    limit: int = 1
-    busy: int = 0
-    cold_ms: float = 0.0
-    pressure: dict[str, float] = {}
+    limit: bounds.Count = 1
+    busy: bounds.Count = 0
+    cold_ms: bounds.Amount = 0.0
+    pressure: dict[str, bounds.Amount] = {}
     leaving: bool = False
-    born: int = 0
-    work_ms: float = 0.0
-    work_by_kind: dict[str, float] = {}
-    slow_now: float = 1
-    usage: dict[str, float] = {}
+    born: bounds.UnixMs = 0
+    work_ms: bounds.Amount = 0.0
+    work_by_kind: dict[str, bounds.Amount] = {}
+    slow_now: bounds.Amount = 1
+    usage: dict[str, bounds.Amount] = {}
 
 
 class Evacuations(msgspec.Struct, array_like=True, frozen=True):
@@ -79,7 +83,7 @@
       domains: Their names.
     """
 
-    revision: int
+    revision: bounds.Ordinal
     domains: tuple[str, ...]
 
 
@@ -92,9 +96,9 @@
       cleared: Target and number of the ends that no longer count.
     """
 
-    fingerprint: int
-    ends: tuple[tuple[str, int, float], ...]
-    cleared: tuple[tuple[str, int], ...] = ()
+    fingerprint: Fingerprint
+    ends: tuple[tuple[bounds.Name, bounds.Ordinal, bounds.Amount], ...]
+    cleared: tuple[tuple[bounds.Name, bounds.Ordinal], ...] = ()
 
 
 class Hello(msgspec.Struct, array_like=True, tag=1):
@@ -113,9 +117,9 @@
 
     protocol: int
     member: Member
-    now_ms: float
+    now_ms: bounds.Finite
     unpacks: bool = False
-    age_ms: float = -1.0
+    age_ms: bounds.Finite = -1.0
     fetches: bool = False
     relays: bool = False
 
@@ -141,16 +145,16 @@
       evidence: Evidence against requests that the receiver was not sent yet.
     """
 
-    now_ms: float
-    echo_ms: float
-    held_ms: float
-    version: int
-    as_of_ms: float
+    now_ms: bounds.Finite
+    echo_ms: bounds.Finite
+    held_ms: bounds.Finite
+    version: bounds.Ordinal
+    as_of_ms: bounds.Moment
     target: TargetState
-    counts: dict[str, int]
-    left: tuple[str, int] | None = None
+    counts: dict[str, bounds.Count]
+    left: tuple[bounds.OptionalIdentifier, bounds.UnixMs] | None = None
     evacuations: Evacuations | None = None
-    sequence: int = 0
+    sequence: bounds.Ordinal = 0
     evidence: tuple[Evidence, ...] = ()
 
 
@@ -165,8 +169,8 @@
         that does not know them.
     """
 
-    version: int
-    as_of_ms: float
+    version: bounds.Ordinal
+    as_of_ms: bounds.Moment
     document: bytes
     evacuations: Evacuations | None = None
 
@@ -197,31 +201,31 @@
       fingerprint: Fingerprint of its content; 0 if not given.
     """
 
-    call: int
-    sent_ms: float
-    left_ms: float
+    call: bounds.Ordinal
+    sent_ms: bounds.Finite
+    left_ms: bounds.Finite
     request_id: str
-    target_id: str
-    priority: int
-    objective_ms: float
-    method: str
-    path: str
+    target_id: bounds.Name
+    priority: bounds.Integer
+    objective_ms: bounds.Amount
+    method: bounds.Method
+    path: bounds.RequestTarget
     head: bytes
     body: bytes
-    more: int
+    more: bounds.Count
     from_retry: bool = False
-    age_ms: float = 0.0
-    placed_before: int = 0
+    age_ms: bounds.Finite = 0.0
+    placed_before: bounds.Count = 0
     kind: str = ""
     workspace: str = ""
-    weight: float = 0
-    fingerprint: int = 0
+    weight: bounds.Amount = 0
+    fingerprint: Fingerprint = 0
 
 
 class Data(msgspec.Struct, array_like=True, tag=5):
     """A subsequent part of a body."""
 
-    call: int
+    call: bounds.Ordinal
     chunk: bytes
 
 
@@ -238,13 +242,13 @@
       limit: Concurrency limit of the target.
     """
 
-    call: int
-    status: int
+    call: bounds.Ordinal
+    status: bounds.Count
     head: bytes
     body: bytes
-    more: int
-    busy: int
-    limit: int
+    more: bounds.Count
+    busy: bounds.Count
+    limit: bounds.Count
 
 
 class Refuse(msgspec.Struct, array_like=True, tag=7):
@@ -259,12 +263,12 @@
       limit: Concurrency limit of the target.
     """
 
-    call: int
+    call: bounds.Ordinal
     code: str
     at_target: bool
-    retry_after_ms: float
-    busy: int
-    limit: int
+    retry_after_ms: bounds.Amount
+    busy: bounds.Count
+    limit: bounds.Count
 
 
 class Lost(msgspec.Struct, array_like=True, tag=8):
@@ -278,17 +282,17 @@
       end_number: Number of the end of the target, if it has ended; else 0.
     """
 
-    call: int
+    call: bounds.Ordinal
     code: str
-    busy: int
-    limit: int
-    end_number: int = 0
+    busy: bounds.Count
+    limit: bounds.Count
+    end_number: bounds.Ordinal = 0
 
 
 class Cancel(msgspec.Struct, array_like=True, tag=9):
     """Cancels a call: its response is no longer needed."""
 
-    call: int
+    call: bounds.Ordinal
 
 
 class Counts(msgspec.Struct, array_like=True, tag=10):
@@ -301,8 +305,8 @@
       sequence: As in `Status`.
     """
 
-    counts: dict[str, int]
-    sequence: int = 0
+    counts: dict[str, bounds.Count]
+    sequence: bounds.Ordinal = 0
 
 
 class Packed(msgspec.Struct, array_like=True, tag=11):
@@ -339,12 +343,12 @@
     """
 
     member: Member
-    age_ms: float
-    version: int
-    proof_age_ms: float
+    age_ms: bounds.Age
+    version: bounds.Ordinal
+    proof_age_ms: bounds.Age
     target: TargetState
-    counts: dict[str, int]
-    sequence: int = 0
+    counts: dict[str, bounds.Count]
+    sequence: bounds.Ordinal = 0
     complete: bool = False
     relays: bool = True
     ended: bool = False
@@ -367,14 +371,14 @@
       nodes: Nodes that the sender knows, itself included.
     """
 
-    now_ms: float
+    now_ms: bounds.Finite
     domain: str
-    age_ms: float
+    age_ms: bounds.Amount
     rows: list[Row]
     silent: tuple[str, ...] = ()
-    heard_ms: float = 0.0
+    heard_ms: bounds.Amount = 0.0
     urgent: bool = False
-    nodes: int = 0
+    nodes: bounds.Count = 0
 
 
 Frame = (
--- a/src/currantcart/proxy/streams/framing.py
+++ b/src/currantcart/proxy/streams/framing.py
@@ -51,10 +51,14 @@
         self.compressor: compression.Compressor | None = None
 
     def add(self, frame: frames.Frame) -> None:
-        """Encodes a frame into the buffer."""
+        """Encodes a frame into the buffer; leaves it as it was on failure."""
         start = len(self.buffer)
         self.buffer += b"\0\0\0\0"
-        frames.ENCODER.encode_into(frame, self.buffer, -1)
+        try:
+            frames.ENCODER.encode_into(frame, self.buffer, -1)
+        except Exception:
+            del self.buffer[start:]
+            raise
         LENGTH.pack_into(self.buffer, start, len(self.buffer) - start - 4)
 
     def add_encoded(self, encoded: bytes) -> None:
--- a/tests/fakes/loop.py
+++ b/tests/fakes/loop.py
@@ -273,6 +273,15 @@
     def time(self) -> float:
         return self.jumping.now
 
+    def record_unhandled(self) -> list[dict[str, Any]]:
+        """Returns a list of the exceptions that nobody handles from now on.
+
+        Those of tasks that are not awaited follow when these are collected.
+        """
+        found: list[dict[str, Any]] = []
+        self.set_exception_handler(lambda _, context: found.append(context))
+        return found
+
     def cut_off(self, *names: str, others: Iterable[str]) -> None:
         """Partitions owners from others; open connections deliver nothing."""
         between = {
--- a/tests/proxy/streams/test_framing.py
+++ b/tests/proxy/streams/test_framing.py
@@ -208,3 +208,16 @@
     nested = b"\x92\x0c" + b"\x91" * 50_000 + b"\x00"
     with pytest.raises(errors.StreamError):
         frames.decode_frame(memoryview(nested))
+
+
+def test_a_frame_that_cannot_be_encoded_leaves_the_others_intact() -> None:
+    """Guards against a stream whose next frames begin within a lost one."""
+    made = framing.FrameWriter()
+    made.add(frames.Cancel(1))
+    with pytest.raises(OverflowError):
+        made.add(frames.Cancel(10**30))
+    made.add(frames.Cancel(2))
+    assert list(framing.FrameReader().feed(made.take())) == [
+        frames.Cancel(1),
+        frames.Cancel(2),
+    ]
--- a/tests/proxy/streams/test_link.py
+++ b/tests/proxy/streams/test_link.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import math
+from typing import Any
 
+import msgspec
 import pytest
 
 from currantcart.proxy import settings as proxy_settings
@@ -101,3 +104,134 @@
     async with asyncio.timeout(1.0):
         await stranger.ended.wait()
     assert not place.node.peers.by_instance
+
+
+def valid_status(**values: Any) -> frames.Status:
+    """Returns the status of a peer that has just started, with some values."""
+    status = frames.Status(5.0, 0.0, 0.0, 1, -math.inf, TARGET, {}, sequence=1)
+    return msgspec.structs.replace(status, **values)
+
+
+TARGET = frames.TargetState("t-z", True, 10, 0, born=1_000)
+
+
+def odd_target(**values: Any) -> frames.Status:
+    """Returns a status whose target has some values."""
+    return valid_status(target=msgspec.structs.replace(TARGET, **values))
+
+
+def odd_row(**values: Any) -> frames.Digest:
+    """Returns a digest with a row that has some values."""
+    row = frames.Row(
+        frames.Member("y", "p98", "10.0.0.98:7000", "grades", "a"),
+        10.0, 1, 0.0, TARGET, {}, 1, complete=True,
+    )  # fmt: skip
+    return frames.Digest(
+        5.0, "a", 0.0, [msgspec.structs.replace(row, **values)]
+    )
+
+
+def odd_call(**values: Any) -> frames.Open:
+    """Returns a request that has some values."""
+    call = frames.Open(
+        1, 5.0, 900.0, "r9", "t-a", 3, 300.0, "GET", "/read/1", b"", b"", 0,
+    )  # fmt: skip
+    return msgspec.structs.replace(call, **values)
+
+
+ODD_FRAMES: list[frames.Frame] = [
+    valid_status(now_ms=math.nan),
+    valid_status(now_ms=math.inf),
+    valid_status(echo_ms=math.nan),
+    valid_status(held_ms=-math.inf),
+    valid_status(as_of_ms=math.nan),
+    valid_status(as_of_ms=math.inf),
+    valid_status(version=-1),
+    valid_status(version=2**64 - 1),
+    valid_status(sequence=2**64 - 1),
+    valid_status(counts={"mill": -(2**63)}),
+    valid_status(counts={"mill": 2**64 - 1}),
+    valid_status(left=("t-a", 2**63)),
+    valid_status(left=("t-a\r\nx: 1", 1)),
+    valid_status(evacuations=frames.Evacuations(2**64 - 1, ())),
+    valid_status(evidence=(frames.Evidence(1, (("t", 1, math.nan),)),)),
+    valid_status(evidence=(frames.Evidence(-1, ()),)),
+    odd_target(target_id="t\r\nx: 1"),
+    odd_target(limit=-1),
+    odd_target(busy=2**64 - 1),
+    odd_target(cold_ms=math.inf),
+    odd_target(pressure={"grades": math.nan}),
+    odd_target(born=2**64 - 1),
+    odd_target(work_ms=-1.0),
+    odd_target(work_by_kind={"read": math.inf}),
+    odd_target(slow_now=math.nan),
+    odd_target(usage={"1:mill": math.nan}),
+    odd_row(age_ms=math.nan),
+    odd_row(proof_age_ms=math.nan),
+    odd_row(version=2**64 - 1),
+    odd_row(counts={"mill": -1}),
+    odd_call(left_ms=math.nan),
+    odd_call(sent_ms=math.inf),
+    odd_call(age_ms=-math.inf),
+    odd_call(weight=math.nan),
+    odd_call(objective_ms=math.inf),
+    odd_call(more=-1),
+    odd_call(method="GET /\r\n"),
+    odd_call(path="/a b"),
+    odd_call(path="/\r\nx: 1"),
+    odd_call(path="/\u0142"),
+    frames.Answer(1, 200, b"", b"", -1, 0, 1),
+    frames.Refuse(1, "busy", True, math.inf, 0, 1),
+    frames.Lost(1, "closed", 0, -1),
+    frames.Digest(math.nan, "a", 0.0, []),
+    frames.Digest(5.0, "a", -1e9, []),
+    frames.Digest(5.0, "a", 0.0, [], heard_ms=math.nan),
+    frames.Digest(5.0, "a", 0.0, [], nodes=2**64 - 1),
+    frames.Counts({"mill": -1}),
+    frames.Counts({}, 2**64 - 1),
+    frames.Config(2**64 - 1, 0.0, b"{}"),
+    frames.Config(2, math.nan, b"{}"),
+]
+
+
+@pytest.mark.parametrize("frame", ODD_FRAMES)
+async def test_a_frame_with_a_value_out_of_range_closes_its_stream_alone(
+    mesh: fake_mesh.Mesh, frame: frames.Frame
+) -> None:
+    """Guards against times and counts that no later frame corrects."""
+    front = await mesh.add("a", service="other")
+    back = await mesh.add("b")
+    await mesh.settle()
+    strangers = [await approach(mesh, place) for place in (front, back)]
+    for stranger in strangers:
+        assert isinstance(stranger.transport, asyncio.Transport)
+        stranger.transport.write(
+            framing.encode_frame(introduction()) + framing.encode_frame(frame)
+        )
+    async with asyncio.timeout(1.0):
+        for stranger in strangers:
+            await stranger.ended.wait()
+    await mesh.settle(0.1)
+    lost = [line for line in mesh.lines if "event=link_lost" in line]
+    assert len([line for line in lost if "reason=frame_invalid" in line]) == 2
+    assert front.node.context.freshness.version == 1
+    assert (await mesh.ask(front, fake_mesh.request())).status == 200
+
+
+async def test_frames_at_the_ends_of_the_ranges_are_read(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """Guards against streams that a value of an honest peer closes."""
+    place = await mesh.add("a")
+    stranger = await approach(mesh, place)
+    assert isinstance(stranger.transport, asyncio.Transport)
+    for frame in (
+        introduction(),
+        valid_status(),
+        odd_row(age_ms=math.inf, proof_age_ms=math.inf),
+        frames.Config(0, -math.inf, b""),
+    ):
+        stranger.transport.write(framing.encode_frame(frame))
+    await mesh.settle(0.5)
+    assert not stranger.ended.is_set()
+    assert set(place.node.peers.by_instance) == {"y", "z"}
--- a/tests/proxy/streams/test_registration.py
+++ b/tests/proxy/streams/test_registration.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import gc
 import json
 from typing import Any
@@ -42,14 +41,6 @@
     return json.dumps({"member": member, "target": report}).encode()
 
 
-def escaped() -> list[dict[str, Any]]:
-    """Returns a list of the exceptions that nobody handles from now on."""
-    found: list[dict[str, Any]] = []
-    loop = asyncio.get_running_loop()
-    loop.set_exception_handler(lambda _, context: found.append(context))
-    return found
-
-
 @pytest.mark.parametrize(
     "address",
     ODD_ADDRESSES,
@@ -59,7 +50,7 @@
     mesh: fake_mesh.Mesh, address: str
 ) -> None:
     """Guards against look-ups, and tasks that end with an exception."""
-    found = escaped()
+    found = mesh.loop.record_unhandled()
     key = f"{names.NODES_PREFIX}odd"
     member = ["odd", "p9", address, "grades", "a"]
     mesh.store.operate(key, json.dumps({"member": member}).encode())
