Entries: log an unreadable one once for each write

Cause: each read of all entries logged each unreadable one.

Change: a node keeps the revision of the entries that it has logged, while the store holds them.

Evidence: the test of three writes to one key failed on the code before and passes now: one line for each of them.

--- a/src/currantcart/proxy/streams/registration.py
+++ b/src/currantcart/proxy/streams/registration.py
@@ -104,6 +104,8 @@
       reachable_since: When the store last became reachable, or the node
         started.
       failures: Consecutive failures of `try_call`.
+      unreadable: Revisions of the entries that were last logged as unreadable,
+        by key.
     """
 
     def __init__(
@@ -137,6 +139,7 @@
         self.listed_at = 0.0
         self.list_reads = 0
         self.failures = 0
+        self.unreadable: dict[str, int] = {}
         self.writing = asyncio.Lock()
         self.is_store_reachable = True
         self.reachable_since = context.now
@@ -192,7 +195,9 @@
         """
         self.listed_at = self.context.now
         members: list[frames.Member] = []
-        for item in await self.store.list(self.prefix, stale=stale):
+        items = await self.store.list(self.prefix, stale=stale)
+        self.forget_unreadable(items)
+        for item in items:
             entry = self.decode(item)
             if item.key == self.key:
                 self.record_previous(item, entry)
@@ -222,8 +227,21 @@
             return None
         return entry
 
+    def forget_unreadable(self, items: list[leased.Item]) -> None:
+        """Forgets the unreadable entries that the store no longer holds."""
+        if self.unreadable:
+            keys = {item.key for item in items}
+            self.unreadable = {
+                key: revision
+                for key, revision in self.unreadable.items()
+                if key in keys
+            }
+
     def log_unreadable(self, item: leased.Item, detail: str) -> None:
-        """Logs an entry that names no node."""
+        """Logs an entry that names no node, once for each write of it."""
+        if self.unreadable.get(item.key) == item.revision:
+            return
+        self.unreadable[item.key] = item.revision
         self.context.log.event("entry_unreadable", key=item.key, detail=detail)
 
     async def try_call(self, work: Awaitable[object]) -> bool:
--- a/tests/proxy/streams/test_registration.py
+++ b/tests/proxy/streams/test_registration.py
@@ -107,6 +107,29 @@
     assert (await mesh.ask(place, fake_mesh.request())).status == 200
 
 
+async def test_an_unreadable_entry_is_logged_once_for_each_write(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """Guards against a log that one entry fills with each read."""
+    key = f"{names.NODES_PREFIX}odd"
+    mesh.store.operate(key, b"{")
+    await mesh.add("a")
+    await mesh.settle(10.0)
+
+    def logged() -> int:
+        return len([line for line in mesh.lines if "entry_unreadable" in line])
+
+    assert logged() == 1
+    mesh.store.operate(key, b"[")
+    await mesh.settle(10.0)
+    assert logged() == 2
+    mesh.store.remove(key)
+    await mesh.settle(10.0)
+    mesh.store.operate(key, b"{")
+    await mesh.settle(10.0)
+    assert logged() == 3
+
+
 def logged(mesh: fake_mesh.Mesh) -> list[str]:
     return [line for line in mesh.lines if "event=previous_process " in line]
 
