--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -224,7 +224,7 @@
     target = await connect()
     rest = CHUNKED + b"1\r\nx\r\n" * count + b"0\r\n\r\n"
     reading = asyncio.ensure_future(target.body())
-    while rest:
+    while rest and not reading.done():
         if target.wire.reading:
             target.send(rest[:ENDLESS_BYTES_MAX])
             rest = rest[ENDLESS_BYTES_MAX:]
