Lose an answer without length that ends before the request was sent

On the platform path a target that answers a long upload at once with a 200 without length, sends part of the body and ends its side of the connection while the upload is still being written had that part delivered as a complete answer. Such a target resets the connection next, but the node closes it at the end of the stream and does not see the reset.

An end of the stream now completes an answer only if the complete request was handed to the kernel; else the request is lost and its caller gets 502, as it does after a reset.

Test, failed before: test_answer_without_length_is_lost_by_an_end_during_the_upload.

--- a/src/currantcart/http1/pool.py
+++ b/src/currantcart/http1/pool.py
@@ -283,9 +283,15 @@
         )
 
     def eof_received(self) -> bool:
-        """Completes an answer that is delimited by the connection's end."""
-        self.reader.end_of_stream()
-        self.deliver_answers()
+        """Completes an answer that is delimited by the connection's end.
+
+        A target that ends before it has the request resets the connection,
+        and its answer may be a part.
+        """
+        transport = self.transport
+        if transport is not None and transport.get_write_buffer_size() == 0:
+            self.reader.end_of_stream()
+            self.deliver_answers()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/tests/http1/test_pool.py
+++ b/tests/http1/test_pool.py
@@ -143,6 +143,18 @@
     assert client.lost == ["reset"]
 
 
+def test_answer_without_length_is_lost_by_an_end_during_the_upload(
+    client: Client,
+) -> None:
+    """Guards against a reset that the end of the stream comes before."""
+    client.wire.unsent = 40_000
+    client.connection.data_received(b"HTTP/1.1 200 OK\r\n\r\npart")
+    client.connection.eof_received()
+    assert not client.answers
+    client.connection.connection_lost(None)
+    assert client.lost == ["closed without an answer"]
+
+
 @pytest.mark.parametrize(
     ("header", "waited_ms", "kept"),
     [
