Limit what a connection for probes, reports and metrics may hold

A caller that sent requests without end on the address for probes, reports or metrics and read no responses took the node's memory: each request got a task, and each response stayed in the write buffer. A head without end was read as long as it came.

Tests, failed before: test_responses_that_nobody_reads_are_bounded, test_requests_without_end_at_once_are_bounded and test_a_request_without_end_ends_its_connection (header line, header lines, chunk extension; a path and a body without end were limited already). No run with real processes was made.

--- a/src/currantcart/proxy/control.py
+++ b/src/currantcart/proxy/control.py
@@ -13,13 +13,17 @@
 import httptools
 
 from currantcart import isolation
-from currantcart.http1 import status
+from currantcart.http1 import framing_limit, status
 from currantcart.http1 import transport as stream
 
 BODY_BYTES_MAX = 256 * 1024
 HEAD_BYTES_MAX = 16 * 1024
-PIPELINED_MAX = 16
+PIPELINED_READ_MAX = 16
 """Requests of a connection that wait for their answers while it is read."""
+PIPELINED_MAX = 64
+"""Requests of a connection that may wait for their answers."""
+UNREAD_BYTES_MAX = 4 * 1024 * 1024
+"""Bytes of responses that a connection may leave unread."""
 IDLE_SECONDS = 30.0
 """Time without a byte after which a connection without answers due is closed.
 
@@ -58,6 +62,8 @@
       size: Bytes in `parts`.
       last: Task that answers the latest request; None before the first.
       unanswered: Requests that were not answered yet.
+      framing: Limit on the bytes of a request that are not of its body.
+      completed: Whether the bytes that are parsed complete a request.
       active_at: When bytes were last received, in seconds of the loop.
       timer: Closes the connection when it is idle.
     """
@@ -74,6 +80,8 @@
         self.size = 0
         self.last: asyncio.Task[None] | None = None
         self.unanswered = 0
+        self.framing = framing_limit.FramingLimit()
+        self.completed = False
         self.active_at = loop.time()
         self.timer: asyncio.TimerHandle | None = None
 
@@ -106,11 +114,29 @@
         """Parses received bytes; closes the connection if they are not HTTP."""
         self.active_at = self.loop.time()
         try:
-            self.parser.feed_data(data)
+            for part in framing_limit.parts(data):
+                self.feed(part)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             if self.transport is not None:
                 self.transport.close()
 
+    def feed(self, part: bytes) -> None:
+        """Parses a part of the received bytes.
+
+        Raises:
+          httptools.HttpParserError: The bytes are not a request, or exceed a
+            limit.
+          httptools.HttpParserUpgrade: The caller changes the protocol.
+        """
+        self.completed = False
+        self.parser.feed_data(part)
+        if self.completed:
+            self.framing.reset()
+        elif self.framing.is_exceeded_by(len(part)):
+            raise httptools.HttpParserError(
+                f"over {self.framing.limit} bytes of head or framing"
+            )
+
     def on_message_begin(self) -> None:
         """Resets the state for a new request."""
         self.url, self.parts, self.size = b"", [], 0
@@ -131,22 +157,30 @@
         Raises:
           ValueError: The body exceeds `BODY_BYTES_MAX`.
         """
+        self.framing.add_body(len(chunk))
         self.size += len(chunk)
         if self.size > BODY_BYTES_MAX:
             raise ValueError(f"request body exceeds {BODY_BYTES_MAX} bytes")
         self.parts.append(chunk)
 
     def on_message_complete(self) -> None:
-        """Schedules the response to a complete request."""
+        """Schedules the response to a complete request.
+
+        Raises:
+          ValueError: Over `PIPELINED_MAX` requests wait for their answers.
+        """
+        self.completed = True
+        self.unanswered += 1
+        if self.unanswered > PIPELINED_MAX:
+            raise ValueError(f"over {PIPELINED_MAX} requests wait")
+        if self.unanswered == PIPELINED_READ_MAX and self.transport is not None:
+            self.transport.pause_reading()
         request = ControlRequest(
             self.parser.get_method().decode("latin-1"),
             self.url.decode("latin-1"),
             b"".join(self.parts),
         )
         self.parts = []
-        self.unanswered += 1
-        if self.unanswered == PIPELINED_MAX and self.transport is not None:
-            self.transport.pause_reading()
         self.last = self.loop.create_task(
             self.answer(request, self.last, self.parser.should_keep_alive())
         )
@@ -179,9 +213,11 @@
         self.unanswered -= 1
         if self.transport is None or self.transport.is_closing():
             return
-        if not keep_alive:
+        if self.transport.get_write_buffer_size() > UNREAD_BYTES_MAX:
+            self.transport.abort()
+        elif not keep_alive:
             self.transport.close()
-        elif self.unanswered == PIPELINED_MAX - 1:
+        elif self.unanswered == PIPELINED_READ_MAX - 1:
             self.transport.resume_reading()
 
     async def handle(self, request: ControlRequest) -> ControlResponse:
