Answer calls that a stop cuts, and take none late in it

In a planned stop of a node of the product's own interface, calls that came late in the drain time were taken and passed on as long as the target still ran one call, and at the end of the drain time their connections were closed without an answer, also for calls that may not be repeated.

In the second half of the drain time calls of other callers are now refused with 503, draining, not run, Retry-After 1 s; calls that the node's own target makes are accepted as before. At the end, in 0.3 s taken from the drain time, the callers of all calls in progress get 502, answer_aborted, which doesn't say that the call has not run.

In memory only; no run with real processes was made of this.

--- a/src/currantcart/node/drain.py
+++ b/src/currantcart/node/drain.py
@@ -13,6 +13,13 @@
 
 NOTICE_SECONDS = 0.2
 LATE_CALLS_SECONDS = 1.5
+ACCEPT_FRACTION = 0.5
+"""Fraction of the drain time in which calls of other callers are accepted.
+
+The rest of it is for calls that were forwarded.
+"""
+ANSWER_SECONDS = 0.3
+"""Part of the drain time that is reserved for answers to calls that are cut."""
 
 
 async def drain(node: app.Node) -> int:
@@ -24,20 +31,43 @@
     """
     context = node.context
     announce_leave(node)
+    drain_seconds = context.settings.drain_ms / 1_000
+    refusing = context.loop.call_later(
+        drain_seconds * ACCEPT_FRACTION, refuse_callers, node
+    )
     finishing = context.loop.create_task(finish_calls(node))
     stopping_now = context.loop.create_task(node.stop_now.wait())
     await asyncio.wait(
         {finishing, stopping_now},
-        timeout=context.settings.drain_ms / 1_000,
+        timeout=max(0.0, drain_seconds - ANSWER_SECONDS),
         return_when=asyncio.FIRST_COMPLETED,
     )
     finishing.cancel()
     stopping_now.cancel()
-    cut = node.guard.cancel_running() + len(caller_tasks(node))
+    refusing.cancel()
+    tasks = caller_tasks(node)
+    cut = node.guard.cancel_running() + len(tasks)
+    await answer_callers(node, tasks)
     context.logger.info("drained", calls_cut=cut)
     return cut
 
 
+def refuse_callers(node: app.Node) -> None:
+    """Refuses further calls, except those of the node's own target."""
+    node.ingress.refusing = True
+
+
+async def answer_callers(
+    node: app.Node, tasks: set[asyncio.Task[None]]
+) -> None:
+    """Cuts the calls in progress and answers their callers."""
+    node.ingress.stopping = True
+    for task in tasks:
+        task.cancel()
+    if tasks:
+        await asyncio.wait(tasks, timeout=ANSWER_SECONDS)
+
+
 def announce_leave(node: app.Node) -> None:
     """Announces LEAVING to all peers, so that they send no new calls."""
     node.context.draining = True
--- a/src/currantcart/node/ingress.py
+++ b/src/currantcart/node/ingress.py
@@ -21,6 +21,7 @@
 from currantcart.telemetry import record
 
 CLIENT_CLOSED = 499
+LEAVING_RETRY_AFTER_MS = 1_000.0
 
 
 class Ingress:
@@ -29,6 +30,8 @@
     Attributes:
       connections: Open connections of callers.
       closing: Whether each connection closes after its answer.
+      refusing: Whether only calls of the node's own target are accepted.
+      stopping: Whether the calls in progress are cut, since the node stops.
     """
 
     def __init__(
@@ -46,6 +49,8 @@
         self.rates = rates
         self.connections: set[server.ServerConnection] = set()
         self.closing = False
+        self.refusing = False
+        self.stopping = False
 
     def accept(self) -> server.ServerConnection:
         """Returns the protocol for a new connection of a caller."""
@@ -77,6 +82,9 @@
         except ConnectionError:
             exchange.abort()
         except asyncio.CancelledError:
+            if self.stopping:
+                await self.answer_cut(exchange, call)
+                return
             if call is not None:
                 self.record_event(
                     record.Event.CANCELLED, call, "the caller left"
@@ -91,8 +99,17 @@
         """Applies the rate limit and the ingress throttle.
 
         Raises:
-          errors.Refusal: The call is over its workspace's rate or is shed.
+          errors.Refusal: The call is over its workspace's rate or is shed, or
+            the node is leaving.
         """
+        if self.refusing and call.parent is None:
+            raise errors.Refusal(
+                errors.Code.DRAINING,
+                errors.Step.ADMIT,
+                "the node is leaving",
+                not_run=True,
+                retry_after_ms=LEAVING_RETRY_AFTER_MS,
+            )
         self.record_event(record.Event.ACCEPTED, call, call.workspace)
         if not self.context.controlled:
             return
@@ -166,6 +183,19 @@
         seconds = (self.context.clock.now() - started_ms) / 1_000
         self.context.metrics.answered(call.service, status, seconds)
 
+    async def answer_cut(
+        self, exchange: server.Exchange, call: call_model.Call | None
+    ) -> None:
+        """Answers a call that is cut because the node stops."""
+        exchange.keep_alive = False
+        refusal = errors.Refusal(
+            errors.Code.ANSWER_ABORTED,
+            errors.Step.RELAY,
+            "the node stopped before the answer",
+            not_run=False,
+        )
+        await self.refuse(exchange, call, refusal)
+
     async def refuse(
         self,
         exchange: server.Exchange,
