Tests: statuses that HTTP does not have, and resets during an upload

On the platform path an answer with such a status, and one without length whose connection is reset while the upload is written, lose the request. No test held it. Replaces the test of a reset by one for errors of the reader and of the writer, with and without unsent bytes.

--- a/tests/http1/test_pool.py
+++ b/tests/http1/test_pool.py
@@ -136,11 +136,36 @@
     assert not client.lost
 
 
-def test_answer_without_length_is_lost_by_a_reset(client: Client) -> None:
+@pytest.mark.parametrize(
+    "error",
+    [ConnectionResetError("reset"), BrokenPipeError("broken pipe")],
+    ids=["reset seen by the reader", "reset seen by the writer"],
+)
+@pytest.mark.parametrize("unsent", [0, 40_000])
+def test_answer_without_length_is_lost_by_a_reset(
+    client: Client, unsent: int, error: OSError
+) -> None:
+    client.wire.unsent = unsent
     client.connection.data_received(b"HTTP/1.1 200 OK\r\n\r\npart")
-    client.connection.connection_lost(ConnectionResetError("reset"))
+    client.connection.connection_lost(error)
+    assert not client.answers
+    assert client.lost == [str(error)]
+
+
+@pytest.mark.parametrize(
+    "status",
+    ["000", "099", "101", "600", "999", "20", "2000", "+200", "0x200"],
+)
+def test_a_status_that_is_not_one_of_http_loses_the_request(
+    client: Client, status: str
+) -> None:
+    """Guards against callers that get an answer no target can have meant."""
+    client.connection.data_received(
+        f"HTTP/1.1 {status} X\r\nContent-Length: 2\r\n\r\nok".encode()
+    )
+    assert client.wire.aborted
+    assert len(client.lost) == 1
     assert not client.answers
-    assert client.lost == ["reset"]
 
 
 def test_answer_without_length_is_lost_by_an_end_during_the_upload(
