Check addresses of settings and of other writers in one place

The settings and the entries of other nodes each had their own check of IP:PORT. `split_address` uses that of `bounds` now; a port beyond 65535 is an error of the settings, so binding one can no longer raise OverflowError.

test_an_address_that_is_not_there_is_named asserted an OSError for such a port; that case is test_an_address_that_cannot_be_is_named now, with the error of the settings, which names the address too.

--- a/src/currantcart/proxy/settings.py
+++ b/src/currantcart/proxy/settings.py
@@ -2,16 +2,14 @@
 
 from __future__ import annotations
 
-import ipaddress
 import pathlib
 from typing import Annotated, Any
 
 import msgspec
 
-from currantcart import decoding, errors
+from currantcart import bounds, decoding, errors
 
 MS = 1_000.0
-PORT_MAX = 65_535
 COUNT_MAX = 2**31 - 1
 SECONDS_MAX = 1e9
 AMOUNT_MAX = 1e9
@@ -205,18 +203,13 @@
       errors.SettingsError: The host is no IP number, or the port not one from
         1 to 65535.
     """
-    host, _, port = value.rpartition(":")
-    try:
-        ipaddress.ip_address(host)
-        number = int(port) if port.isascii() and port.isdigit() else 0
-    except ValueError:
-        number = 0
-    if not 0 < number <= PORT_MAX:
+    if not bounds.is_address(value):
         raise errors.SettingsError(
             f"found {value[:FOUND_TEXT_MAX]!r}, allowed: IP:PORT",
             code=errors.Code.SETTINGS_INVALID,
         )
-    return host, number
+    host, _, port = value.rpartition(":")
+    return host, int(port)
 
 
 def load(path: pathlib.Path) -> ProxySettings:
--- a/src/currantcart/proxy/startup.py
+++ b/src/currantcart/proxy/startup.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import dataclasses
-import errno
 import pathlib
 import socket
 from collections.abc import Callable, Sequence
@@ -89,8 +88,6 @@
             opened.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             opened.setblocking(False)
             opened.bind((host, port))
-        except OverflowError as error:
-            raise OSError(errno.EINVAL, str(error), address) from error
         except OSError as error:
             raise OSError(error.errno, error.strerror, address) from error
         stack.pop_all()
--- a/src/currantcart/telemetry/loop_errors.py
+++ b/src/currantcart/telemetry/loop_errors.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import dataclasses
 import logging
 import os
@@ -23,7 +22,6 @@
 TEXT_CHARACTERS_MAX = 200
 REPEAT_MS = 1_000.0
 """Shortest time between two lines about the same place in the code."""
-STANDARD_ERROR = 2
 
 
 @dataclasses.dataclass(slots=True)
@@ -118,18 +116,11 @@
 
 
 def install(loop: asyncio.AbstractEventLoop, reporter: ErrorReporter) -> None:
-    """Has everything reported that would be printed to standard error.
-
-    What is printed in spite of it must not wait for the reader, so standard
-    error becomes non-blocking.
-    """
+    """Has everything reported that would be printed to standard error."""
     loop.set_exception_handler(reporter.handle_loop_error)
     sys.unraisablehook = reporter.handle_unraisable
     logging.captureWarnings(capture=True)
     logging.getLogger().addHandler(LogHandler(reporter))
-    # A process may be started without it.
-    with contextlib.suppress(OSError):
-        os.set_blocking(STANDARD_ERROR, False)
 
 
 def own_place(error: BaseException | None) -> str:
--- a/tests/proxy/test_startup.py
+++ b/tests/proxy/test_startup.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from currantcart import errors
 from currantcart.proxy import startup
 from currantcart.telemetry import decisions
 
@@ -100,9 +101,15 @@
         startup.listen((address, address))
 
 
-@pytest.mark.parametrize("address", ["127.0.0.1:99999", "192.0.2.1:7000"])
-def test_an_address_that_is_not_there_is_named(address: str) -> None:
+def test_an_address_that_is_not_there_is_named() -> None:
     """The log line must say which address a start waits for."""
+    address = "192.0.2.1:7000"
     with pytest.raises(OSError) as caught:
         startup.listen((address,))
     assert caught.value.filename == address
+
+
+def test_an_address_that_cannot_be_is_named() -> None:
+    """The log line must say which address a start waits for."""
+    with pytest.raises(errors.SettingsError, match=r"127\.0\.0\.1:99999"):
+        startup.listen(("127.0.0.1:99999",))
--- a/tests/telemetry/test_loop_errors.py
+++ b/tests/telemetry/test_loop_errors.py
@@ -21,6 +21,7 @@
 PROGRAM = """
 import asyncio, sys
 import uvloop
+from currantcart import clock as clock_module
 from currantcart.proxy import serve, settings
 
 LISTEN = settings.Listen(
@@ -35,6 +36,7 @@
 
 async def main():
     loop = asyncio.get_running_loop()
+    clock = clock_module.suspend_aware_clock()
     running = serve.build(
         settings.ProxySettings(
             instance="n1",
@@ -46,7 +48,9 @@
             store="127.0.0.1:9",
             first_start=True,
         ),
-        loop,
+        clock=clock,
+        loop=loop,
+        log=serve.open_log(clock, loop),
     )
     for _ in range(200):
         loop.call_soon(fail)
@@ -54,6 +58,7 @@
     await asyncio.sleep(0)
     running.context.log.flush()
 
+serve.open_standard_streams()
 uvloop.run(main())
 """
 
@@ -90,7 +95,6 @@
     sys.unraisablehook = hook
     logging.captureWarnings(capture=False)
     logging.getLogger().handlers[:] = handlers
-    os.set_blocking(loop_errors.STANDARD_ERROR, True)
 
 
 async def fail() -> None:
