Deploy: name a missing library in one line

Seen: a node whose build was not done, or broke off, ended with a traceback of nested imports and status 1, the status of cut requests.

Fix: the start file turns an ImportError into the line `ended` with its text, and status 70.

test_a_start_without_its_libraries_says_which_is_missing failed on the code before, with the traceback.

--- a/deploy/node.py
+++ b/deploy/node.py
@@ -12,17 +12,27 @@
 import pathlib  # noqa: E402
 import sys  # noqa: E402
 
+VARIABLE = "CURRANTCART_BOOT"
+EXIT_USAGE = 2
+EXIT_INTERNAL = 70
+
 sys.path.insert(0, str(pathlib.Path(__file__).parent.parent / "src"))
 
-from currantcart.proxy import serve  # noqa: E402
 
-VARIABLE = "CURRANTCART_BOOT"
-EXIT_USAGE = 2
+def end(error: str, detail: str, status: int) -> None:
+    """Ends the process with one log line that says why."""
+    sys.stderr.write(
+        f'event=ended error={error} detail="{detail}" status={status}\n'
+    )
+    sys.exit(status)
+
+
+try:
+    from currantcart.proxy import serve
+except ImportError as error:
+    end(type(error).__name__, str(error), EXIT_INTERNAL)
 
 if __name__ == "__main__":
     if not os.environ.get(VARIABLE):
-        sys.stderr.write(
-            f'event=ended detail="{VARIABLE} is not set" status={EXIT_USAGE}\n'
-        )
-        sys.exit(EXIT_USAGE)
+        end("SettingsError", f"{VARIABLE} is not set", EXIT_USAGE)
     sys.exit(serve.run(pathlib.Path(os.environ[VARIABLE])))
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -371,6 +371,18 @@
     assert "CURRANTCART_BOOT is not set" in lines[0]
 
 
+def test_a_start_without_its_libraries_says_which_is_missing(
+    tmp_path: pathlib.Path,
+) -> None:
+    """A build that was not done or broke off: one line, no traceback."""
+    environment = {"CURRANTCART_BOOT": str(write_settings(tmp_path))}
+    with started(tmp_path, env=environment) as process:
+        lines = read_until(process, "status=70")
+        assert process.wait(WAIT_SECONDS_MAX) == 70
+    assert len(lines) == 1
+    assert "event=ended error=ModuleNotFoundError" in lines[0]
+
+
 @pytest.mark.parametrize("closed", [(1,), (0, 1, 2)], ids=str)
 def test_closed_standard_streams_are_not_used_by_sockets(
     tmp_path: pathlib.Path, closed: tuple[int, ...]
