Frames: accept a negative count, which an honest node may send

Seen: a request that was admitted while its workspace had no rate, and whose token is given back after a configuration has brought one, leaves a count of -1, which the bounds of frames refused: each stream of that node would close, and again each time it is dialled.

Cause: counts were bounded below by 0. They are the difference of what a node has admitted and given back since a bucket exists.

Change: counts of requests and the number of those that run or wait are integers of either sign, usage and the ages in a digest finite numbers. A negative age of a digest counts as 0, so that no process appears to be live in the future. The warm-up that a target states is bounded as in its report, so that it stays within the bounds of a frame.

--- a/src/currantcart/proxy/streams/frames.py
+++ b/src/currantcart/proxy/streams/frames.py
@@ -64,7 +64,7 @@
     target_id: bounds.OptionalIdentifier = ""
     ready: bool = False
     limit: bounds.Count = 1
-    busy: bounds.Count = 0
+    busy: bounds.Integer = 0
     cold_ms: bounds.Amount = 0.0
     pressure: dict[str, bounds.Amount] = {}
     leaving: bool = False
@@ -72,7 +72,7 @@
     work_ms: bounds.Amount = 0.0
     work_by_kind: dict[str, bounds.Amount] = {}
     slow_now: bounds.Amount = 1
-    usage: dict[str, bounds.Amount] = {}
+    usage: dict[str, bounds.Finite] = {}
 
 
 class Evacuations(msgspec.Struct, array_like=True, frozen=True):
@@ -151,7 +151,7 @@
     version: bounds.Ordinal
     as_of_ms: bounds.Moment
     target: TargetState
-    counts: dict[str, bounds.Count]
+    counts: dict[str, bounds.Integer]
     left: tuple[bounds.OptionalIdentifier, bounds.UnixMs] | None = None
     evacuations: Evacuations | None = None
     sequence: bounds.Ordinal = 0
@@ -247,7 +247,7 @@
     head: bytes
     body: bytes
     more: bounds.Count
-    busy: bounds.Count
+    busy: bounds.Integer
     limit: bounds.Count
 
 
@@ -267,7 +267,7 @@
     code: str
     at_target: bool
     retry_after_ms: bounds.Amount
-    busy: bounds.Count
+    busy: bounds.Integer
     limit: bounds.Count
 
 
@@ -284,7 +284,7 @@
 
     call: bounds.Ordinal
     code: str
-    busy: bounds.Count
+    busy: bounds.Integer
     limit: bounds.Count
     end_number: bounds.Ordinal = 0
 
@@ -305,7 +305,7 @@
       sequence: As in `Status`.
     """
 
-    counts: dict[str, bounds.Count]
+    counts: dict[str, bounds.Integer]
     sequence: bounds.Ordinal = 0
 
 
@@ -347,7 +347,7 @@
     version: bounds.Ordinal
     proof_age_ms: bounds.Age
     target: TargetState
-    counts: dict[str, bounds.Count]
+    counts: dict[str, bounds.Integer]
     sequence: bounds.Ordinal = 0
     complete: bool = False
     relays: bool = True
@@ -373,10 +373,10 @@
 
     now_ms: bounds.Finite
     domain: str
-    age_ms: bounds.Amount
+    age_ms: bounds.Finite
     rows: list[Row]
     silent: tuple[str, ...] = ()
-    heard_ms: bounds.Amount = 0.0
+    heard_ms: bounds.Finite = 0.0
     urgent: bool = False
     nodes: bounds.Count = 0
 
--- a/src/currantcart/proxy/streams/relay.py
+++ b/src/currantcart/proxy/streams/relay.py
@@ -593,9 +593,9 @@
             "digest_age_seconds", now - at + digest.age_ms
         )
         self.heard_at[domain] = max(
-            self.heard_at.get(domain, 0.0), at - digest.heard_ms
+            self.heard_at.get(domain, 0.0), at - max(0.0, digest.heard_ms)
         )
-        live_at = at - digest.age_ms
+        live_at = at - max(0.0, digest.age_ms)
         silent = set(digest.silent)
         for process, peer in processes.items():
             if (
--- a/src/currantcart/proxy/targets/cold_check.py
+++ b/src/currantcart/proxy/targets/cold_check.py
@@ -13,6 +13,8 @@
 ANSWER_SECONDS_MAX = 0.5
 """Time limit of the request; a full target may never answer."""
 
+COLD_MS_MAX = bounds.SECONDS_MAX * 1_000.0
+
 
 class ColdCheck:
     """One health request to the target, whose answer states its warm-up.
@@ -83,7 +85,7 @@
         if stated is None and response.status != HEALTHY:
             return
         cold_ms = bounds.parse_number(
-            stated or b"0", minimum=-bounds.FLOAT_MAX, maximum=bounds.FLOAT_MAX
+            stated or b"0", minimum=-COLD_MS_MAX, maximum=COLD_MS_MAX
         )
         if cold_ms is None:
             self.context.log.event("cold_unreadable", value=repr(stated)[:40])
--- a/tests/proxy/streams/test_relay.py
+++ b/tests/proxy/streams/test_relay.py
@@ -422,6 +422,19 @@
     assert item.transport is not None
 
 
+async def test_a_digest_of_the_future_makes_no_peer_younger_than_now(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """Guards against processes that never become silent."""
+    places = await fleet(mesh)
+    peers = places["a12"].node.peers
+    item = digest_stream(places["a12"], "a00")
+    now = mesh.clock.now()
+    peers.handle_digest(item, frames.Digest(now, "a", -1e9, [], heard_ms=-1e9))
+    assert all(peer.received_at <= now for peer in peers.by_instance.values())
+    assert peers.relay.heard_at["a"] <= now
+
+
 # Starts and ends.
 
 
