Limit the answers of the store at the product's own interface

A store, or something that took its address, that answers without end filled the node's memory for the time of the call, up to half a minute for a watch.

A body over 8 MiB now closes the connection: a read is unavailable, the outcome of a write unknown, as after any other answer that is not one. The platform path reads the store's answers through its account of bodies already.

Test, failed before (with the limit's name added): test_an_answer_without_end_is_not_kept: 32 MiB were read to the end.

--- a/src/currantcart/store/http.py
+++ b/src/currantcart/store/http.py
@@ -22,6 +22,26 @@
 WATCH_SLACK_SECONDS = 2.0
 NOT_FOUND = 404
 CONNECTIONS_MAX = 32
+BODY_BYTES_MAX = 8 * 1024 * 1024
+"""Bytes of the longest answer; what comes without end is no answer."""
+
+
+async def read_body(response: aiohttp.ClientResponse) -> bytes:
+    """Returns the body of an answer.
+
+    Raises:
+      aiohttp.ClientError: The body is cut, or exceeds `BODY_BYTES_MAX`.
+    """
+    parts, size = [], 0
+    async for part in response.content.iter_any():
+        parts.append(part)
+        size += len(part)
+        if size > BODY_BYTES_MAX:
+            response.close()
+            raise aiohttp.ClientPayloadError(
+                f"body exceeds {BODY_BYTES_MAX} bytes"
+            )
+    return b"".join(parts)
 
 
 class HttpStore:
@@ -86,7 +106,7 @@
                 params=params,
                 timeout=aiohttp.ClientTimeout(total=seconds),
             ) as response:
-                body = await response.read()
+                body = await read_body(response)
                 if response.status == NOT_FOUND:
                     return None
                 self.check_status(response.status)
@@ -110,7 +130,7 @@
                 data=body,
                 timeout=aiohttp.ClientTimeout(total=WRITE_SECONDS_MAX),
             ) as response:
-                answer = await response.read()
+                answer = await read_body(response)
                 if response.status == NOT_FOUND:
                     return None
                 self.check_status(response.status)
--- a/tests/store/test_http.py
+++ b/tests/store/test_http.py
@@ -137,3 +137,45 @@
         assert done == [True]
 
     run(work)
+
+
+async def answer_without_end(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, sent: list[int]
+) -> None:
+    """Sends a body until the client closes, or up to a limit."""
+    await reader.readuntil(b"\r\n\r\n")
+    writer.write(b"HTTP/1.1 200 OK\r\n\r\n")
+    piece = b"x" * 65_536
+    try:
+        while sum(sent) < 4 * store_http.BODY_BYTES_MAX:
+            writer.write(piece)
+            await writer.drain()
+            sent.append(len(piece))
+    except ConnectionError:
+        pass
+    finally:
+        writer.close()
+
+
+def test_an_answer_without_end_is_not_kept() -> None:
+    """Guards against a store whose answers fill the memory."""
+
+    async def work(_: object, standin: object) -> None:
+        del standin
+        sent: list[int] = []
+        server = await asyncio.start_server(
+            lambda reader, writer: answer_without_end(reader, writer, sent),
+            "127.0.0.1",
+            0,
+        )
+        store = store_http.HttpStore(
+            f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        )
+        with pytest.raises(port.StoreUnavailable, match="exceeds"):
+            await store.get("a")
+        with pytest.raises(port.StoreOutcomeUnknown, match="exceeds"):
+            await store.compare_and_swap("a", b"1", index=0)
+        await store.close()
+        server.close()
+
+    run(work)
