Refuse the report of a target that starts in the future

Seen: a heartbeat of another writer whose `born` lies in the future, but within the range of a time, was taken. The start of an incarnation orders all reports, so those of the target itself were passed over from then on, and its requests got 503 (no_target).

Cause: reports are ordered by a time that nothing compared with the clock.

A clock that jumps by seconds or minutes refuses nothing, and one that was never set (before 2020) is not used.

test_a_heartbeat_out_of_range_changes_nothing[future] failed before.

--- a/src/currantcart/proxy/targets/target_reports.py
+++ b/src/currantcart/proxy/targets/target_reports.py
@@ -14,6 +14,23 @@
 
 PERSIST_SECONDS_MAX = 0.6
 """Longest wait for the store before a leave report is acknowledged."""
+CLOCK_ERROR_MS_MAX = 86_400_000.0
+"""Time by which the clocks of a target and of its node may differ."""
+CLOCK_SET_MS_MIN = 1_577_836_800_000.0
+"""Start of the year 2020; a clock before that was never set."""
+
+
+def starts_in_future(report: target_record.Report, wall_ms: float) -> bool:
+    """Returns whether a report is of a target that can't have started yet.
+
+    Such a report would supersede all that the target sends until then.
+
+    Args:
+      report: The report.
+      wall_ms: Wall-clock time, in milliseconds since 1970.
+    """
+    is_clock_set = wall_ms >= CLOCK_SET_MS_MIN
+    return is_clock_set and report.born > wall_ms + CLOCK_ERROR_MS_MAX
 
 
 class TargetReports:
@@ -61,6 +78,11 @@
                 service=report.service,
             )
             return control.ControlResponse(400)
+        if starts_in_future(report, self.context.clock.wall()):
+            self.context.log.event(
+                "report_from_future", target=report.target_id, born=report.born
+            )
+            return control.ControlResponse(400)
         await self.apply(report)
         return control.ControlResponse(200, b"{}", "application/json")
 
--- a/tests/proxy/targets/test_target_reports.py
+++ b/tests/proxy/targets/test_target_reports.py
@@ -7,6 +7,8 @@
 
 import pytest
 
+from currantcart.fleet import target_record
+from currantcart.proxy.targets import target_reports
 from tests.fakes import mesh as fake_mesh
 
 
@@ -17,11 +19,21 @@
         {"slots": -5},
         {"born": 10**30},
         {"born": 2**63 - 1},
+        {"born": 1_800_000_000_000},
         {"sequence": 10**400},
         {"cold-remaining-s": 1e308},
         {"address": "10.0.0.1:99999999"},
     ],
-    ids=["slots", "negative", "born", "future", "sequence", "cold", "address"],
+    ids=[
+        "slots",
+        "negative",
+        "born",
+        "digits",
+        "future",
+        "sequence",
+        "cold",
+        "address",
+    ],
 )
 async def test_a_heartbeat_out_of_range_changes_nothing(
     mesh: fake_mesh.Mesh, values: dict[str, Any]
@@ -53,4 +65,15 @@
     await mesh.settle()
     assert (await mesh.ask(front, fake_mesh.request())).status == 200
     assert not [line for line in mesh.lines if "background_failed" in line]
-    assert [line for line in mesh.lines if "event=report_unreadable" in line]
+    refusals = ("event=report_unreadable", "event=report_from_future")
+    assert [line for line in mesh.lines if any(x in line for x in refusals)]
+
+
+def test_a_node_whose_clock_is_not_set_takes_reports() -> None:
+    """Guards against a target that is refused because of its node's clock."""
+    report = target_record.Report(
+        "t-a", 1_800_000_000_000, 1, target_record.Phase.READY
+    )
+    assert target_reports.starts_in_future(report, 1_700_000_000_000.0)
+    assert not target_reports.starts_in_future(report, 1_799_990_000_000.0)
+    assert not target_reports.starts_in_future(report, 5_000.0)
