Try a change of the settings again until it is applied

Seen (in a test): an error other than of invalid settings, while a change is applied, ended the watch of the settings file. Background work is restarted after a delay of up to four seconds, and then compares the file with its stamp of the start of the process, so that a change back to that file, with its modification time, was not seen.

Cause: the stamp was taken as seen before the change was applied, and the error left the loop of the watch.

Change: the stamp is taken as seen once the change is applied or found invalid. An error is reported like any other that no code handles, and the change is tried again a second later; one that a SIGHUP could not apply as well.

Test, failed before (the watch had ended with the error): test_a_change_that_was_not_applied_is_tried_again.

--- a/src/currantcart/proxy/serve.py
+++ b/src/currantcart/proxy/serve.py
@@ -19,7 +19,7 @@
 import uvloop
 
 from currantcart import clock as clock_module
-from currantcart import errors
+from currantcart import errors, isolation
 from currantcart.platform import config, names, reports
 from currantcart.platform import store as platform_store
 from currantcart.proxy import context as proxy_context
@@ -269,6 +269,8 @@
 ) -> None:
     """Reloads the settings when their file changes, also without SIGHUP.
 
+    A change whose application raises an error is tried again each time.
+
     Args:
       running: The node.
       path: Settings file.
@@ -277,9 +279,10 @@
     while True:
         await asyncio.sleep(SETTINGS_SECONDS)
         present = startup.file_stamp(path)
-        if present != seen:
+        if present != seen and isolation.run(
+            running.context.loop, reload, running, path
+        ):
             seen = present
-            reload(running, path)
 
 
 def open_standard_streams() -> None:
