--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -231,12 +231,7 @@
 
 
 def test_the_start_file_ignores_the_reload_signal_first() -> None:
-    """SIGHUP ends a process that starts, until it is ignored.
-
-    Nothing may run before that but the built-in module that it needs, and the
-    interpreter must not import its `site` module, which takes longer than the
-    rest of its start.
-    """
+    """Guards against a SIGHUP that ends a process before it is ignored."""
     words = run_command()
     assert words[0] == "python3"
     assert "-S" in words[1:-1]
