Log: escape what cannot be printed

Seen: twelve nodes on loopback that are sent odd heartbeats, among them a service of one NUL. The line `report_of_another_service` held that byte, and `grep event=` printed no line of these logs, only that they are binary. The logs of four of the twelve nodes were such. Carriage returns and the line separators of Unicode end a line for readers such as the timeline, so that a heartbeat could forge one.

Cause: the renderer escapes a line feed alone.

Change: a line that holds anything else that cannot be printed has it escaped. That takes the place of the escape of halves of surrogate pairs.

Test, failed before for six of the eight characters (a line feed and a half of a surrogate pair were escaped): test_a_value_cannot_end_a_line_for_any_reader.

--- a/src/currantcart/telemetry/decisions.py
+++ b/src/currantcart/telemetry/decisions.py
@@ -107,8 +107,7 @@
             line = self.format(
                 "line_unwritable", {"of": event, "error": type(error).__name__}
             )
-        # Text of JSON may hold halves of a surrogate pair.
-        self.keep(line.encode(errors="backslashreplace") + b"\n")
+        self.keep(line.encode() + b"\n")
 
     def format(self, event: str, values: dict[str, object]) -> str:
         """Returns a line without its end."""
@@ -127,7 +126,7 @@
             pairs[key] = value
         line = RENDER(None, "", pairs)
         assert isinstance(line, str)
-        return line
+        return line if line.isprintable() else escape(line)
 
     def keep(self, line: bytes) -> None:
         """Buffers a line until the next flush; drops it if there is no room."""
@@ -165,6 +164,20 @@
         self.dropped_bytes += len(data) - written
 
 
+def escape(text: str) -> str:
+    """Returns a text with the characters escaped that can't be printed.
+
+    Some of them end a line for some readers, and others make `grep` take the
+    log for binary data.
+    """
+    return "".join(
+        character
+        if character.isprintable()
+        else character.encode("unicode_escape").decode("ascii")
+        for character in text
+    )
+
+
 def to_standard_output(data: bytes) -> int:
     """Writes to standard output, which must be non-blocking."""
     return os.write(1, data)
--- a/tests/telemetry/test_decisions.py
+++ b/tests/telemetry/test_decisions.py
@@ -137,3 +137,31 @@
     assert written in odd
     assert len(odd) < 1_200
     assert "event=next" in after
+
+
+@pytest.mark.parametrize(
+    ("character", "shown"),
+    [
+        ("\0", r"\x00"),
+        ("\r", r"\r"),
+        ("\n", r"\n"),
+        ("\x1b", r"\x1b"),
+        ("\x1c", r"\x1c"),
+        ("\x85", r"\x85"),
+        ("\u2028", r"\u2028"),
+        ("\ud800", r"\ud800"),
+    ],
+)
+async def test_a_value_cannot_end_a_line_for_any_reader(
+    character: str, shown: str
+) -> None:
+    """What a stranger sends must not forge a line, nor hide the log."""
+    pipe = Pipe(10_000)
+    log = new_log(pipe, Time())
+    log.event("report_of_another_service", service=f"é{character}event=ended")
+    log.event("report_unreadable", detail=character * 5_000)
+    log.flush()
+    assert len(pipe.lines) == 2
+    assert pipe.data.decode().removesuffix("\n").replace("\n", "").isprintable()
+    assert f"é{shown}event=ended" in pipe.lines[0]
+    assert len(pipe.lines[1]) < len(shown) * 1_000 + 100
