Peers: tell no node of a leave that names no target

Cause: the leave in a status allowed an empty id, as the state of a target does, where it stands for no target; and a state that is leaving without an id was recorded as a leave to be told. Only a faulty peer sends one: the state of a target without an id is not leaving.

Change: the id in a leave is not empty, and such a state is not recorded, so that no node sends what its peers refuse.

Tests, failed before: the new case of test_a_frame_with_a_value_out_of_range_closes_its_stream_alone, and test_a_leave_without_a_target_is_not_told_its_node.

--- a/src/currantcart/proxy/streams/frames.py
+++ b/src/currantcart/proxy/streams/frames.py
@@ -152,7 +152,7 @@
     as_of_ms: bounds.Moment
     target: TargetState
     counts: dict[str, bounds.Integer]
-    left: tuple[bounds.OptionalIdentifier, bounds.UnixMs] | None = None
+    left: tuple[bounds.Identifier, bounds.UnixMs] | None = None
     evacuations: Evacuations | None = None
     sequence: bounds.Ordinal = 0
     evidence: tuple[Evidence, ...] = ()
--- a/src/currantcart/proxy/streams/peers.py
+++ b/src/currantcart/proxy/streams/peers.py
@@ -502,7 +502,7 @@
                 ready=state.ready,
                 limit=state.limit,
             )
-        if state.leaving:
+        if state.leaving and state.target_id:
             self.leaving_targets[known.instance] = (state.target_id, state.born)
         known.target_id = state.target_id
         known.ready = state.ready
--- a/tests/proxy/streams/test_link.py
+++ b/tests/proxy/streams/test_link.py
@@ -152,6 +152,7 @@
     valid_status(counts={"mill": -(2**63)}),
     valid_status(counts={"mill": 2**64 - 1}),
     valid_status(left=("t-a", 2**63)),
+    valid_status(left=("", 1)),
     valid_status(left=("t-a\r\nx: 1", 1)),
     valid_status(evacuations=frames.Evacuations(2**64 - 1, ())),
     valid_status(evidence=(frames.Evidence(1, (("t", 1, math.nan),)),)),
@@ -236,3 +237,21 @@
     await mesh.settle(0.5)
     assert not stranger.ended.is_set()
     assert set(place.node.peers.by_instance) == {"y", "z"}
+
+
+async def test_a_leave_without_a_target_is_not_told_its_node(
+    mesh: fake_mesh.Mesh,
+) -> None:
+    """Guards against an entry of the node that nobody can read."""
+    place = await mesh.add("a")
+    stranger = await approach(mesh, place)
+    assert isinstance(stranger.transport, asyncio.Transport)
+    for target_id in ("", "t-z"):
+        target = frames.TargetState(target_id, leaving=True, born=1_000)
+        stranger.transport.write(
+            framing.encode_frame(introduction())
+            + framing.encode_frame(valid_status(target=target))
+        )
+        await mesh.settle(0.1)
+        told = place.node.peers.leaving_targets.values()
+        assert list(told) == ([("t-z", 1_000)] if target_id else [])
