Settings: a window has at least a millisecond

Seen: a node on loopback whose settings are read again, each field at an end of its range.

Cause: a positive time was bounded by 0 alone; the number of a bucket is the time of the clock divided by the window's part, infinite for such a window.

Change: the times that must be positive are a millisecond at least. At the other ends of the ranges nothing was logged as unhandled.

Test, failed before: the new case of test_a_value_that_cannot_be_used_is_invalid.

--- a/src/currantcart/proxy/settings.py
+++ b/src/currantcart/proxy/settings.py
@@ -11,6 +11,7 @@
 
 MS = 1_000.0
 COUNT_MAX = 2**31 - 1
+SECONDS_MIN = 0.001
 SECONDS_MAX = 1e9
 AMOUNT_MAX = 1e9
 FOUND_TEXT_MAX = 60
@@ -18,7 +19,7 @@
 
 Count = Annotated[int, msgspec.Meta(ge=0, le=COUNT_MAX)]
 Seconds = Annotated[float, msgspec.Meta(ge=0, le=SECONDS_MAX)]
-PositiveSeconds = Annotated[float, msgspec.Meta(gt=0, le=SECONDS_MAX)]
+PositiveSeconds = Annotated[float, msgspec.Meta(ge=SECONDS_MIN, le=SECONDS_MAX)]
 Amount = Annotated[float, msgspec.Meta(ge=0, le=AMOUNT_MAX)]
 
 
--- a/tests/proxy/test_settings.py
+++ b/tests/proxy/test_settings.py
@@ -105,6 +105,7 @@
         ({"bounds": {"drain_seconds": float("inf")}}, "finite"),
         ({"bounds": {"drain_seconds": float("nan")}}, "finite"),
         ({"bounds": {"retry_window_seconds": 0}}, "retry_window_seconds"),
+        ({"bounds": {"retry_window_seconds": 5e-324}}, "retry_window_seconds"),
     ],
 )
 def test_a_value_that_cannot_be_used_is_invalid(
