Review case 8: uploads without a key are taken late in a planned stop and cut

A request without a key passes for a call of the local target if it expires before one that the target works on, and is accepted by its objective, however long its work takes.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""Answers that wait behind a slow one, and the memory of the nodes."""
+"""Uploads without a key, late in a planned stop of the node that takes them."""
 
 import asyncio
 import pathlib
@@ -9,105 +9,85 @@
 
 from lab2 import *  # noqa: F403
 
-MEMORY_MB = 300
-"""`memory-mb` of a machine of both small sites."""
-ANSWER_BYTES = 2 * 1024 * 1024
-CLIENTS = 14
-REQUESTS = 14
-"""Requests that a client sends behind the first one."""
-FIRST_SECONDS = 3.0 if TROUBLE else 0.02
-ENDS = 3
-PATHS = {"reports": "/read/1", "grades": "/view/1"}
-
-
-async def pipeline(lab: Lab, node: Node, name: str) -> None:
-    """Sends idempotent requests behind each other, and reads the answers."""
-    writer, whole = None, 0
+READ_AT = 1.6
+READ_SECONDS = 3.9
+"""Work of a `grade-lookup`; the site's longest is 5.3 s."""
+UPLOADS_AT = 3.9
+UPLOAD_SECONDS = 1.45
+"""Work of a `report-upload`; the site's longest is 1.6 s."""
+UPLOADS = 5
+GAP_SECONDS = 0.05
+AFTER_SECONDS = 3.0
+"""A request that was sent later after the SIGTERM isn't excused."""
+
+
+async def send(
+    lab: Lab, node: Node, head: bytes, body: bytes, request_id: str
+) -> tuple[float, int]:
+    """Sends one request; returns when it was sent, and its status or 0."""
+    writer = None
+    at = time.monotonic()
+    lab.record.add("sent", id=request_id)
     try:
         reader, writer = await asyncio.open_connection(HOST, node.callers)
-        names = [f"first-{name}"]
-        names += [f"{name}-{number}" for number in range(REQUESTS)]
-        for request_id in names:
-            writer.write(head_of("GET", PATHS[node.worker.service], request_id, key="k1"))
-        for _ in names:
-            answer = await asyncio.wait_for(read_message(reader), 8)
-            whole += answer.status == 200
-        end = "read"
+        writer.write(head + body)
+        answer = await asyncio.wait_for(read_message(reader), 8)
+        lab.record.add(
+            "answer", id=request_id, status=answer.status,
+            seal=answer.fields.get("currantcart-server-seal", "none"),
+            body=answer.body[:40],
+        )  # fmt: skip
+        return at, answer.status
     except LOST as error:
-        end = type(error).__name__
-    if writer is not None:
-        writer.close()
-    lab.record.add("client", name=name, whole=whole, of=REQUESTS + 1, end=end)
-
-
-class Platform:
-    """Ends a process that exceeds its memory, and starts it again."""
-
-    def __init__(self, lab: Lab, node: Node) -> None:
-        self.lab = lab
-        self.node = node
-        self.ends = 0
-        self.peak = 0.0
-
-    async def watch(self) -> None:
-        while True:
-            memory = self.node.rss_mb()
-            self.peak = max(self.peak, memory)
-            if memory > MEMORY_MB:
-                self.ends += 1
-                self.lab.record.add(
-                    "over_memory", node=self.node.name,
-                    memory_mb=round(memory), limit_mb=MEMORY_MB,
-                )  # fmt: skip
-                self.node.send(signal.SIGKILL)
-                self.node.process.wait()
-                await asyncio.sleep(0.5)
-                self.node.start()
-            await asyncio.sleep(0.02)
-
-
-async def use(lab: Lab, node: Node) -> None:
-    """Lets clients come at the same time, `ENDS` times."""
-    for turn in range(ENDS):
-        await asyncio.gather(*(
-            pipeline(lab, node, f"{node.name}-{turn}-{number}")
-            for number in range(CLIENTS)
-        ))  # fmt: skip
-        await asyncio.sleep(1.0)
-        while not await node.is_ready():
-            await asyncio.sleep(0.1)
-        await asyncio.sleep(4.0)
+        lab.record.add("closed", id=request_id, error=type(error).__name__)
+        return at, 0
+    finally:
+        if writer is not None:
+            writer.close()
 
 
 async def work(lab: Lab) -> list[str]:
-    for service, zone in (("reports", "dar-a"), ("grades", "dar-b")):
-        node = await lab.add(service, zone)
-        node.worker.body = lambda request: b"z" * ANSWER_BYTES
-        node.worker.work = lambda request: (
-            FIRST_SECONDS if request.request_id.startswith("first") else 0.02
-        )
+    node = await lab.add("grades", "dar-a")
+    other = await lab.add("reports", "dar-b")
+    node.worker.work = lambda request: READ_SECONDS
+    other.worker.work = lambda request: UPLOAD_SECONDS
     lab.store.put("op/config", config(
         [
-            ["read", "/read/", "idempotent", 5, 1.5, 2, False, "reports"],
-            ["view", "/view/", "idempotent", 5, 1.5, 2, False, "grades"],
+            ["read", "/read/", "idempotent", 5, 2.5, 2, False, "grades"],
+            ["up", "/up/", "upload", 3, 0.8, 2, True, "reports"],
         ],
-        ["reports", "grades"], keys={"mill": ["k1"]},
+        ["grades", "reports"], keys={"mill": ["k1"]},
     ))  # fmt: skip
     await lab.start()
-    platforms = [Platform(lab, node) for node in lab.nodes]
-    lab.tasks += [asyncio.create_task(item.watch()) for item in platforms]
-    await asyncio.gather(*(use(lab, node) for node in lab.nodes))
-    for item in platforms:
-        lab.record.add(
-            "done", node=item.node.name, ends=item.ends,
-            peak_mb=round(item.peak),
-        )  # fmt: skip
-    often = [item for item in platforms if item.ends >= ENDS]
-    if len(often) < 2:
-        return []
+    began = time.monotonic()
+    ending = asyncio.create_task(node.terminate()) if TROUBLE else None
+    await asyncio.sleep(READ_AT)
+    read = asyncio.create_task(send(
+        lab, node,
+        head_of("GET", "/read/1", "read", key="k1", deadline_ms=10_000),
+        b"", "read",
+    ))  # fmt: skip
+    await asyncio.sleep(UPLOADS_AT - READ_AT)
+    uploads = []
+    for number in range(UPLOADS):
+        name = f"upload{number}"
+        head = head_of("POST", "/up/1", name, deadline_ms=2_500, length=60_000)
+        uploads.append(asyncio.create_task(
+            send(lab, node, head, b"y" * 60_000, name)
+        ))  # fmt: skip
+        await asyncio.sleep(GAP_SECONDS)
+    results = await asyncio.gather(*uploads)
+    await read
+    if ending is not None:
+        await ending
+    runs = {item for item, _, _ in other.worker.runs}
     return [
-        f"{item.node.name} ended {item.ends} times over its memory"
-        for item in often
+        f"upload{number}, sent {at - began:.1f} s after the SIGTERM, was at "
+        f"work at a sound worker and got {status or 'no answer'}"
+        for number, (at, status) in enumerate(results)
+        if f"upload{number}" in runs
+        and status != 200
+        and at - began > AFTER_SECONDS
     ]
 
 
--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# Answers that wait behind a slow one, and the memory of the nodes.
+# Uploads without a key, late in a planned stop of the node that takes them.
 exec python3 "$(dirname "$0")/case.py"
