--- a/review/8/case.py
+++ b/review/8/case.py
@@ -91,4 +91,7 @@
     ]
 
 
-main(__file__, work)
+RECORD = pathlib.Path(__file__).resolve().with_name("record.txt")
+"""What was sent, answered and run, with the times."""
+
+main(RECORD, work)
--- a/review/lab2.py
+++ b/review/lab2.py
@@ -96,10 +96,10 @@
 
 
 class Record:
-    """Writes `record.txt`: a line for each event, with its time."""
+    """Writes a line for each event, with its time."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
-        self.file = (folder / "record.txt").open("w")
+    def __init__(self, path: pathlib.Path) -> None:
+        self.file = path.open("w")
         self.began = time.monotonic()
 
     def add(self, event: str, **values: object) -> None:
@@ -516,8 +516,8 @@
 class Lab:
     """Store, nodes and workers of one script."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
-        self.record = Record(folder)
+    def __init__(self, record: pathlib.Path) -> None:
+        self.record = Record(record)
         self.temporary = tempfile.TemporaryDirectory()
         self.folder = pathlib.Path(self.temporary.name)
         self.store = Store()
@@ -591,11 +591,14 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
 
-def main(case: str, work: Callable[[Lab], object]) -> None:
-    """Runs a script; exits with 1 if the rule was broken, 0 if it held."""
+def main(record: pathlib.Path, work: Callable[[Lab], object]) -> None:
+    """Runs a script; exits with 1 if the rule was broken, 0 if it held.
+
+    What was sent, answered and run is written to `record`.
+    """
 
     async def run() -> int:
-        lab = Lab(pathlib.Path(case).resolve().parent)
+        lab = Lab(record)
         lab.record.add("begin", trouble=int(TROUBLE))
         try:
             await lab.open()
